--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/charts"
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/lease"
@@ -21,8 +22,9 @@
 	"github.com/cicadacove/cicadacove/internal/core/revision"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
-	"github.com/cicadacove/cicadacove/internal/dbcontrol"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 	"github.com/cicadacove/cicadacove/internal/peer"
+	"github.com/cicadacove/cicadacove/internal/spread"
 	"github.com/cicadacove/cicadacove/internal/statechart"
 )
 
@@ -38,19 +40,30 @@
 	Client *peer.Client
 	Server *peer.Server
 	Timing Timing
-	// UpstreamUser and UpstreamPassword authenticate control statements at
-	// databases.
-	UpstreamUser, UpstreamPassword string
-	// Dial opens connections to databases; nil means a net.Dialer.
-	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Databases checks primaries. The agent closes it when it ends.
+	Databases dbapi.Prober
 	// AnnounceKey authenticates announcements. When it is empty they pass
 	// without a signature.
 	AnnounceKey []byte
+	// Config takes in updates of the configuration; nil keeps the contracts,
+	// which Agent.Config returns.
+	Config ConfigSink
+	// Now is the clock that leases and ages count by; nil means clock.Now.
+	Now func() time.Time
 	// KeepUntilExpiry makes the agent refuse requests to give back a lease
 	// before its time. It exists to measure what giving back early saves.
 	KeepUntilExpiry bool
 }
 
+// ConfigSink takes in updates of the configuration. The agent calls it under
+// its own lock, so it must not wait.
+type ConfigSink interface {
+	// Revision returns the revision that is in force.
+	Revision() uint64
+	// Apply takes a later revision into force. With an error nothing changes.
+	Apply(update []byte) error
+}
+
 // Authority says that the lease covers a group's term: writes may be sent to
 // the primary.
 type Authority struct {
@@ -71,7 +84,8 @@
 type Agent struct {
 	opts   Options
 	timing Timing
-	db     *dbcontrol.Client
+	now    func() time.Time
+	db     dbapi.Prober
 
 	mu       sync.Mutex
 	chart    *statechart.Chart
@@ -81,17 +95,20 @@
 	known    *ctlstate.Replica
 	registry *membership.Registry
 	tracker  *upstreamTracker
-	config   *revision.Applier
-	changed  chan struct{}
+	voters   []string
+	config   ConfigSink
+	// contracts is the default of config.
+	contracts *contracts
+	changed   chan struct{}
 	// leader is the peer address of the controller that leads, empty when it
 	// is unknown; hint is where a voter believes it to be.
 	leader, hint string
 
-	evidence *outbox[sightingKey, bool]
+	evidence *spread.Outbox[sightingKey, bool]
 	told     map[sightingKey]toldSighting
 	// served is when a primary last answered on a data connection.
 	served map[topo.GroupID]time.Time
-	heard  *outbox[heardKey, toSpread]
+	heard  *spread.Announcements
 }
 
 // New returns an agent and registers its handlers with the server.
@@ -99,28 +116,37 @@
 	if opts.Self.ID == "" || opts.Self.PeerAddr == "" || opts.Self.Incarnation == 0 {
 		return nil, errors.New("agent: self: id, incarnation and peer address are needed")
 	}
-	if opts.Client == nil || opts.Server == nil {
-		return nil, errors.New("agent: client and server are needed")
+	if opts.Client == nil || opts.Server == nil || opts.Databases == nil {
+		return nil, errors.New("agent: client and server, and a client of the databases, are needed")
+	}
+	if opts.Now == nil {
+		opts.Now = clock.Now
 	}
 	timing := opts.Timing.WithDefaults()
 	a := &Agent{
-		opts:     opts,
-		timing:   timing,
-		db:       dbcontrol.New(dbcontrol.Options{User: opts.UpstreamUser, Password: opts.UpstreamPassword, Dial: opts.Dial}),
-		chart:    loadLeaseChart(charts.Read("lease.toml")),
-		holder:   lease.NewHolder(timing.Terms()),
-		guards:   newGuards(),
-		known:    ctlstate.NewReplica(),
-		registry: membership.NewRegistry(timing.Announced),
-		tracker:  newUpstreamTracker(),
-		config:   revision.NewApplier(),
-		changed:  make(chan struct{}),
-		told:     map[sightingKey]toldSighting{},
-		served:   map[topo.GroupID]time.Time{},
-		evidence: newOutbox[sightingKey](latest[bool]),
-		heard:    newOutbox[heardKey](replacing),
+		opts:      opts,
+		timing:    timing,
+		now:       opts.Now,
+		db:        opts.Databases,
+		chart:     loadLeaseChart(charts.Read("lease.toml")),
+		holder:    lease.NewHolder(timing.Terms()),
+		guards:    newGuards(),
+		known:     ctlstate.NewReplica(),
+		registry:  membership.NewRegistry(timing.Announced),
+		tracker:   newUpstreamTracker(),
+		voters:    opts.Voters,
+		contracts: &contracts{revision.NewApplier()},
+		changed:   make(chan struct{}),
+		told:      map[sightingKey]toldSighting{},
+		served:    map[topo.GroupID]time.Time{},
+		evidence:  spread.NewOutbox[sightingKey](spread.Latest[bool]),
+		heard:     spread.NewAnnouncements(opts.Now),
 	}
 	a.state = a.chart.Initial
+	a.config = opts.Config
+	if a.config == nil {
+		a.config = a.contracts
+	}
 	a.handle(opts.Server)
 	return a, nil
 }
@@ -152,7 +178,7 @@
 
 // covers needs the lock.
 func (a *Agent) covers(r *ctlstate.GroupRecord) bool {
-	return r.Attempt == nil && a.holder.Covers(r.ID, r.Term, time.Now())
+	return r.Attempt == nil && a.holder.Covers(r.ID, r.Term, a.now())
 }
 
 // addrOf prefers the address that the database announced. It needs the lock.
@@ -216,7 +242,7 @@
 		return nil
 	}
 	var list []Upstream
-	for _, k := range a.registry.Usable(g, time.Now()) {
+	for _, k := range a.registry.Usable(g, a.now()) {
 		if db, accepted := r.Database(k.ID); accepted && !db.Retiring {
 			list = append(list, Upstream{k.Announcement, k.HeardAt})
 		}
@@ -229,7 +255,7 @@
 func (a *Agent) Config() *contract.Config {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.config.Config()
+	return a.contracts.Config()
 }
 
 // View returns the active epoch of the live view, if the lease holds and no
@@ -238,7 +264,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	e := a.known.Epochs
-	if !a.holder.Valid(time.Now()) || !membership.UsableEpoch(e, a.opts.Self.Key()) {
+	if !a.holder.Valid(a.now()) || !membership.UsableEpoch(e, a.opts.Self.Key()) {
 		return membership.View{}, false
 	}
 	return membership.View{Epoch: e.Active.Number, Members: a.known.Lookup(e.Active.Members)}, true
@@ -259,6 +285,13 @@
 	return a.holder.Until()
 }
 
+// Voters returns the peer addresses of the control voters, as far as known.
+func (a *Agent) Voters() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.voters)
+}
+
 // Members returns the entry instances that are known to be live.
 func (a *Agent) Members() []ctlstate.Member {
 	a.mu.Lock()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -13,6 +13,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
+	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
 
@@ -22,7 +23,7 @@
 	t.Helper()
 	a, err := New(Options{
 		Self:   ctlstate.Member{ID: "e1", Incarnation: 1, PeerAddr: "127.0.0.1:1"},
-		Client: peer.NewClient(peer.Options{}), Server: peer.NewServer(peer.Options{}), AnnounceKey: key,
+		Client: peer.NewClient(peer.Options{}), Server: peer.NewServer(peer.Options{}), Databases: dbcontrol.New(dbcontrol.Options{}), AnnounceKey: key, Now: time.Now,
 	})
 	require.NoError(t, err)
 	return a
@@ -169,15 +170,15 @@
 		require.Len(t, a.probeTargets(), 1)
 		a.ReportPrimary(g, 1, true)
 		require.Empty(t, a.probeTargets())
-		require.Equal(t, map[sightingKey]bool{{g, 1}: true}, a.evidence.take())
+		require.Equal(t, map[sightingKey]bool{{g, 1}: true}, a.evidence.Take())
 		time.Sleep(a.timing.Probe)
 		require.Len(t, a.probeTargets(), 1)
 		a.ReportPrimary(g, 1, true)
-		require.Empty(t, a.evidence.take())
+		require.Empty(t, a.evidence.Take())
 		a.ReportPrimary(g, 1, false)
-		require.Equal(t, map[sightingKey]bool{{g, 1}: false}, a.evidence.take())
+		require.Equal(t, map[sightingKey]bool{{g, 1}: false}, a.evidence.Take())
 		time.Sleep(a.timing.Silence / 2)
 		a.ReportPrimary(g, 1, true)
-		require.Equal(t, map[sightingKey]bool{{g, 1}: true}, a.evidence.take())
+		require.Equal(t, map[sightingKey]bool{{g, 1}: true}, a.evidence.Take())
 	})
 }
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
@@ -17,15 +16,6 @@
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
 
-const (
-	// spreadDelay is how long announcements that change nothing are gathered
-	// before they are passed on.
-	spreadDelay = 100 * time.Millisecond
-	// fullEvery is how many announcements of an upstream bring one that is
-	// passed on as a whole, for instances that missed a change.
-	fullEvery = 4
-)
-
 // ErrSignature means that an announcement's signature is missing or wrong.
 var ErrSignature = errors.New("agent: announcement: wrong signature")
 
@@ -35,11 +25,6 @@
 // Error names the reason.
 func (e *AnnounceError) Error() string { return "agent: announcement: " + e.Outcome.String() }
 
-type heardKey struct {
-	group topo.GroupID
-	id    topo.UpstreamID
-}
-
 // AnnounceSigned checks the signature of an announcement's body, then takes
 // it as Announce does.
 func (a *Agent) AnnounceSigned(body []byte, signature string) error {
@@ -58,7 +43,7 @@
 func (a *Agent) Announce(an topo.Announcement) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := a.now()
 	outcome := a.registry.Hear(an, now)
 	if !outcome.Accepted() {
 		return &AnnounceError{outcome}
@@ -66,48 +51,17 @@
 	if outcome == membership.Updated {
 		a.notify()
 	}
-	key := heardKey{an.Group, an.ID}
-	changed := outcome == membership.Updated
-	whole := changed || an.Seq%fullEvery == 0
-	a.heard.add(key, toSpread{membership.Known{Announcement: an, HeardAt: now}, whole}, changed)
+	a.heard.Add(membership.Known{Announcement: an, HeardAt: now}, outcome == membership.Updated)
 	return nil
 }
 
-// toSpread is an announcement that waits to be passed on.
-type toSpread struct {
-	membership.Known
-	// whole says that the receivers may not know the rest of it.
-	whole bool
-}
-
-// replacing is the outbox's rule for two announcements of one upstream.
-func replacing(old, next toSpread) toSpread {
-	next.whole = next.whole || old.whole
-	return next
-}
-
 func (a *Agent) spreadLoop(ctx context.Context) error {
-	ticker := time.NewTicker(spreadDelay)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-a.heard.urgent:
-		}
-		a.spread(ctx)
-	}
+	return a.heard.Run(ctx, func(batch ctlwire.Announcements) { a.spread(ctx, batch) })
 }
 
-// spread passes the gathered announcements on to the leader and to all other
-// instances, without waiting for the answers.
-func (a *Agent) spread(ctx context.Context) {
-	taken := a.heard.take()
-	if len(taken) == 0 {
-		return
-	}
-	batch := batchOf(taken, time.Now())
+// spread passes announcements on to the leader and to all other instances,
+// without waiting for the answers.
+func (a *Agent) spread(ctx context.Context, batch ctlwire.Announcements) {
 	go func() {
 		if _, err := call[ctlwire.Answer](ctx, a, ctlwire.KindHeard, batch); err != nil {
 			klog.V(2).Infof("agent: %s: announcements not told to the leader: %v", a.opts.Self.ID, err)
@@ -120,21 +74,6 @@
 	}
 }
 
-func batchOf(taken map[heardKey]toSpread, now time.Time) ctlwire.Announcements {
-	var batch ctlwire.Announcements
-	for _, k := range taken {
-		age := now.Sub(k.HeardAt)
-		if k.whole {
-			batch.List = append(batch.List, ctlwire.Heard{Announcement: k.Announcement, Age: age})
-			continue
-		}
-		batch.Refreshed = append(batch.Refreshed, ctlwire.Refresh{
-			Group: k.Group, ID: k.ID, Incarnation: k.Incarnation, Seq: k.Seq, Point: k.Point, Age: age,
-		})
-	}
-	return batch
-}
-
 func (a *Agent) tell(ctx context.Context, m ctlstate.Member, batch ctlwire.Announcements) {
 	ctx, cancel := context.WithTimeout(ctx, a.timing.Call)
 	defer cancel()
@@ -143,26 +82,32 @@
 	}
 }
 
-// learnUpstreams asks the other instances for all announcements. A new run
-// must know which announcements are old before it takes any.
+// learnUpstreams asks the other instances and the voters for all
+// announcements. A new run must know which announcements are old before it
+// takes any.
 func (a *Agent) learnUpstreams() {
 	ctx, cancel := context.WithTimeout(context.Background(), a.timing.Lease)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, m := range a.Members() {
-		if m.ID == a.opts.Self.ID {
-			continue
-		}
+	ask := func(addr, kind string) {
 		g.Go(func() error {
-			got, err := peer.Call[ctlwire.Announcements](ctx, a.opts.Client, m.PeerAddr, ctlwire.KindUpstreams, ctlwire.Empty{})
+			got, err := peer.Call[ctlwire.Announcements](ctx, a.opts.Client, addr, kind, ctlwire.Empty{})
 			if err == nil {
 				_, err = a.onAnnounce(ctx, got)
 			}
 			if err != nil {
-				klog.V(2).Infof("agent: %s: announcements not learned from %s: %v", a.opts.Self.ID, m.ID, err)
+				klog.V(2).Infof("agent: %s: announcements not learned from %s: %v", a.opts.Self.ID, addr, err)
 			}
 			return nil
 		})
 	}
+	for _, m := range a.Members() {
+		if m.ID != a.opts.Self.ID {
+			ask(m.PeerAddr, ctlwire.KindUpstreams)
+		}
+	}
+	for _, addr := range a.Voters() {
+		ask(addr, ctlwire.KindHeardList)
+	}
 	_ = g.Wait()
 }
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -72,7 +72,7 @@
 	if a.leader != "" {
 		return []string{a.leader}
 	}
-	addrs := slices.Clone(a.opts.Voters)
+	addrs := slices.Clone(a.voters)
 	if a.hint != "" && !slices.Contains(addrs, a.hint) {
 		addrs = append(addrs, a.hint)
 	}
--- a/internal/agent/handlers.go
+++ b/internal/agent/handlers.go
@@ -8,6 +8,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/peer"
+	"github.com/cicadacove/cicadacove/internal/spread"
 )
 
 // giveBackWait bounds how long a request to give back waits for
@@ -59,15 +60,7 @@
 func (a *Agent) onAnnounce(_ context.Context, req ctlwire.Announcements) (ctlwire.Empty, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	news := false
-	for _, h := range req.List {
-		news = a.registry.Hear(h.Announcement, now.Add(-h.Age)) == membership.Updated || news
-	}
-	for _, f := range req.Refreshed {
-		a.registry.Refresh(f.Group, f.ID, f.Incarnation, f.Seq, f.Point, now.Add(-f.Age))
-	}
-	if news {
+	if spread.TakeIn(a.registry, req, a.now()) {
 		a.notify()
 	}
 	return ctlwire.Empty{}, nil
@@ -77,10 +70,5 @@
 func (a *Agent) onUpstreams(context.Context, ctlwire.Empty) (ctlwire.Announcements, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	var list []ctlwire.Heard
-	for _, k := range a.registry.All() {
-		list = append(list, ctlwire.Heard{Announcement: k.Announcement, Age: now.Sub(k.HeardAt)})
-	}
-	return ctlwire.Announcements{List: list}, nil
+	return spread.Listing(a.registry, a.now()), nil
 }
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -8,9 +8,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/cicadacove/cicadacove/internal/codec"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
-	"github.com/cicadacove/cicadacove/internal/core/revision"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/statechart"
 )
@@ -125,11 +123,11 @@
 	request := ctlwire.Renew{
 		Key:       a.opts.Self.Key(),
 		Index:     a.known.Index,
-		Revision:  a.config.Config().Revision,
+		Revision:  a.config.Revision(),
 		Confirmed: membership.ConfirmedEpoch(a.known.Epochs),
 	}
 	a.mu.Unlock()
-	sentAt := time.Now()
+	sentAt := a.now()
 	renewed, err := call[ctlwire.Renewed](ctx, a, ctlwire.KindRenew, request)
 	if err != nil {
 		return err
@@ -149,7 +147,13 @@
 	news := a.known.Apply(renewed.Delta, true)
 	a.holder.Renew(sentAt)
 	a.step(eventGranted)
-	err := a.applyConfig(renewed.Config)
+	var err error
+	if len(renewed.Config) > 0 {
+		err = a.config.Apply(renewed.Config)
+	}
+	if len(renewed.Voters) > 0 {
+		a.voters = renewed.Voters
+	}
 	if news || len(renewed.Config) > 0 {
 		a.notify()
 	}
@@ -168,19 +172,6 @@
 	}
 }
 
-// applyConfig needs the lock.
-func (a *Agent) applyConfig(change []byte) error {
-	if len(change) == 0 {
-		return nil
-	}
-	var update revision.Update
-	if err := codec.Unmarshal(change, &update); err != nil {
-		return fmt.Errorf("configuration update: %w", err)
-	}
-	_, err := a.config.Apply(update)
-	return err
-}
-
 // accepted acts on the status of a controller's answer and reports whether it
 // is OK.
 func (a *Agent) accepted(answer ctlwire.Answer) bool {
@@ -201,7 +192,7 @@
 func (a *Agent) expiryLoop(ctx context.Context) error {
 	for sleep(ctx, expiryCheck) {
 		a.mu.Lock()
-		now := time.Now()
+		now := a.now()
 		if a.state == stateHeld && !a.holder.Valid(now) {
 			klog.Warningf("agent: %s: lease expired", a.opts.Self.ID)
 			a.step(eventExpired)
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -11,6 +11,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 )
 
 type sightingKey struct {
@@ -27,7 +28,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.served[g] = time.Now()
+	a.served[g] = a.now()
 }
 
 // toldSighting is what the leader was told last of a primary.
@@ -42,13 +43,13 @@
 func (a *Agent) sight(k sightingKey, reachable bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := a.now()
 	old := a.told[k]
 	if reachable && old.reachable && now.Sub(old.at) < a.timing.Silence/2 {
 		return
 	}
 	a.told[k] = toldSighting{reachable, now}
-	a.evidence.add(k, reachable, !reachable || !old.reachable)
+	a.evidence.Add(k, reachable, !reachable || !old.reachable)
 	for other := range a.told {
 		if other.group == k.group && other.term < k.term {
 			delete(a.told, other)
@@ -102,7 +103,7 @@
 	for id, r := range a.known.Groups {
 		probers := membership.Rendezvous(string(id), live, a.timing.Probers)
 		mine := slices.ContainsFunc(probers, func(m ctlstate.Member) bool { return m.ID == a.opts.Self.ID })
-		if mine && r.Attempt == nil && time.Since(a.served[id]) >= a.timing.Probe {
+		if mine && r.Attempt == nil && a.now().Sub(a.served[id]) >= a.timing.Probe {
 			targets = append(targets, probeTarget{sightingKey{id, r.Term}, r.Primary, a.addrOf(r, r.Primary)})
 		}
 	}
@@ -112,7 +113,7 @@
 func (a *Agent) probe(ctx context.Context, t probeTarget) {
 	ctx, cancel := context.WithTimeout(ctx, a.timing.ProbeTimeout)
 	defer cancel()
-	s, err := a.db.Status(ctx, t.group, t.addr)
+	s, err := a.db.Status(ctx, dbapi.Location{Group: t.group, ID: t.id, Addr: t.addr})
 	if err != nil {
 		klog.V(2).Infof("agent: %s: primary %s of %s not reached: %v", a.opts.Self.ID, t.id, t.group, err)
 	}
@@ -129,9 +130,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-		case <-a.evidence.urgent:
+		case <-a.evidence.Urgent():
 		}
-		taken := a.evidence.take()
+		taken := a.evidence.Take()
 		if len(taken) == 0 {
 			continue
 		}
--- a/internal/agent/tracker.go
+++ b/internal/agent/tracker.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/charts"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/statechart"
 )
 
@@ -18,11 +19,16 @@
 	actionWithdraw = "withdraw"
 )
 
+type upstreamKey struct {
+	group topo.GroupID
+	id    topo.UpstreamID
+}
+
 // upstreamTracker follows each upstream through the upstream chart, to tell
 // when the set of usable upstreams changes.
 type upstreamTracker struct {
 	chart  *statechart.Chart
-	states map[heardKey]string
+	states map[upstreamKey]string
 }
 
 func loadUpstreamChart(data []byte) *statechart.Chart {
@@ -35,7 +41,7 @@
 func newUpstreamTracker() *upstreamTracker {
 	return &upstreamTracker{
 		chart:  loadUpstreamChart(charts.Read("upstream.toml")),
-		states: map[heardKey]string{},
+		states: map[upstreamKey]string{},
 	}
 }
 
@@ -43,9 +49,9 @@
 // to be.
 func (t *upstreamTracker) update(r *membership.Registry, now time.Time) bool {
 	changed := false
-	states := make(map[heardKey]string, len(t.states))
+	states := make(map[upstreamKey]string, len(t.states))
 	for _, k := range r.All() {
-		key := heardKey{k.Group, k.ID}
+		key := upstreamKey{k.Group, k.ID}
 		state, known := t.states[key]
 		if !known {
 			state = t.chart.Initial
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -6,19 +6,21 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/charts"
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/failover"
+	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
-	"github.com/cicadacove/cicadacove/internal/dbcontrol"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 	"github.com/cicadacove/cicadacove/internal/peer"
+	"github.com/cicadacove/cicadacove/internal/spread"
 	"github.com/cicadacove/cicadacove/internal/statechart"
 	"github.com/cicadacove/cicadacove/internal/voter"
 )
@@ -28,21 +30,39 @@
 
 // Options configures a Controller.
 type Options struct {
+	// Self is the peer address of this voter.
+	Self   string
 	Log    voter.Log
 	State  *ctlstate.Machine
 	Client *peer.Client
 	Server *peer.Server
-	// UpstreamUser and UpstreamPassword authenticate control statements at
-	// databases.
-	UpstreamUser, UpstreamPassword string
-	// Dial opens connections to databases; nil means a net.Dialer.
-	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Databases changes the roles of databases. Run closes it.
+	Databases dbapi.Client
+	Upstreams Upstreams
+	// Voters returns the peer addresses of the voters, which members are
+	// told; nil tells none.
+	Voters func() []string
 	Timing Timing
 	// Observe is told of the steps of failovers, if it is not nil. It must
 	// not wait.
 	Observe func(Event)
 }
 
+// Upstreams says how the databases behave.
+type Upstreams struct {
+	// FollowUnasked says that replicas find a new primary by themselves: only
+	// a database that claims to be primary is told to follow.
+	FollowUnasked bool
+	// Durability returns how many databases hold a write of the group before
+	// it is acknowledged; nil means 2.
+	Durability func(topo.GroupID) int
+}
+
+// single reports whether the primary alone acknowledges the group's writes.
+func (u Upstreams) single(g topo.GroupID) bool {
+	return u.Durability != nil && u.Durability(g) < 2
+}
+
 // Event is one step of a group's failover.
 type Event struct {
 	At    time.Time
@@ -57,11 +77,15 @@
 type Controller struct {
 	opts   Options
 	timing Timing
-	db     *dbcontrol.Client
+	db     dbapi.Client
 	chart  *statechart.Chart
 
 	mu      sync.Mutex
 	current *reign
+	// registry holds what was announced to any voter; heard what is to be
+	// passed on.
+	registry *membership.Registry
+	heard    *spread.Announcements
 }
 
 // New returns a controller and registers its handlers with the server.
@@ -69,9 +93,11 @@
 	c := &Controller{
 		opts:   opts,
 		timing: opts.Timing.WithDefaults(),
-		db:     dbcontrol.New(dbcontrol.Options{User: opts.UpstreamUser, Password: opts.UpstreamPassword, Dial: opts.Dial}),
+		db:     opts.Databases,
 		chart:  failover.LoadChart(charts.Read("failover.toml")),
+		heard:  spread.NewAnnouncements(clock.Now),
 	}
+	c.registry = membership.NewRegistry(c.timing.Announced)
 	c.handle(opts.Server)
 	return c
 }
@@ -79,6 +105,7 @@
 // Run serves until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	defer c.db.Close()
+	go func() { _ = c.heard.Run(ctx, func(batch ctlwire.Announcements) { c.passOn(ctx, batch) }) }()
 	for ctx.Err() == nil {
 		changed := c.opts.Log.Changed()
 		status := c.opts.Log.Status()
@@ -99,6 +126,8 @@
 func (c *Controller) lead(ctx context.Context, status voter.Status) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The voter counts by a clock that stands still during a suspension.
+	status.LeaderSince = clock.Now()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/internal/control/databases.go
+++ b/internal/control/databases.go
@@ -6,9 +6,11 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 )
 
 // followKey names a database of a group.
@@ -29,7 +31,7 @@
 // them following the primary of their group.
 func (r *reign) tickDatabases(ctx context.Context) {
 	r.mu.Lock()
-	r.registry.Prune(time.Now(), forgetAfter)
+	r.registry.Prune(clock.Now(), forgetAfter)
 	all := r.registry.All()
 	r.mu.Unlock()
 	for _, k := range all {
@@ -37,11 +39,12 @@
 	}
 	for _, id := range r.c.opts.State.Groups() {
 		r.keepFollowing(ctx, id)
+		r.removeGone(ctx, id)
 	}
 }
 
 func (r *reign) acceptDatabase(ctx context.Context, k membership.Known) {
-	if k.Leaving || r.registry.Expired(k, time.Now()) {
+	if k.Leaving || r.registry.Expired(k, clock.Now()) {
 		return
 	}
 	add := &ctlstate.AddDatabase{
@@ -53,7 +56,12 @@
 		if k.Role != topo.RolePrimary {
 			return
 		}
-		add.Found, add.Term = true, max(k.Point.Term, k.FencedTerm, 1)
+		term, err := r.foundingTerm(ctx, k)
+		if err != nil {
+			klog.V(1).Infof("control: primary %s of %s does not tell its term: %v", k.ID, k.Group, err)
+			return
+		}
+		add.Found, add.Term = true, term
 	}
 	old, _ := record.Database(k.ID)
 	add.Database.Retiring = old.Retiring
@@ -64,6 +72,19 @@
 	r.publish(ctx, k.Group)
 }
 
+// foundingTerm is the term under which a primary founds its group. It is asked
+// for where announcements don't tell it.
+func (r *reign) foundingTerm(ctx context.Context, k membership.Known) (topo.Term, error) {
+	announced := max(k.Point.Term, k.FencedTerm)
+	if announced > 0 || !r.c.opts.Upstreams.FollowUnasked {
+		return max(announced, 1), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.c.timing.Call)
+	defer cancel()
+	s, err := r.c.db.Status(ctx, dbapi.Location{Group: k.Group, ID: k.ID, Addr: k.Addr})
+	return max(s.Point.Term, s.FencedTerm, 1), err
+}
+
 // keepFollowing orders each database but the primary to follow it, once for
 // each term, address of the primary and run of the database.
 func (r *reign) keepFollowing(ctx context.Context, id topo.GroupID) {
@@ -85,12 +106,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k, heard := r.registry.Get(record.ID, d.ID)
-	if !heard || r.registry.Expired(k, time.Now()) {
+	if !heard || r.registry.Expired(k, clock.Now()) {
 		return followed{}, false
 	}
 	order := followed{term: record.Term, incarnation: k.Incarnation, primaryAddr: record.PrimaryAddr()}
 	key := followKey{record.ID, d.ID}
 	last := r.followers[key]
+	if r.c.opts.Upstreams.FollowUnasked && k.Role == topo.RoleReplica {
+		return followed{}, false
+	}
 	if last.busy || (last == order && k.Role == topo.RoleReplica) {
 		return followed{}, false
 	}
@@ -101,7 +125,7 @@
 func (r *reign) orderFollow(ctx context.Context, record ctlstate.GroupRecord, d ctlstate.Database, order followed) {
 	ctx, cancel := context.WithTimeout(ctx, r.c.timing.Call)
 	defer cancel()
-	_, err := r.c.db.Follow(ctx, record.ID, d.Addr, record.Term, order.primaryAddr)
+	_, err := r.c.db.Follow(ctx, locationOf(record.ID, d), record.Term, order.primaryAddr)
 	if err != nil {
 		klog.V(1).Infof("control: %s not told to follow %s: %v", d.ID, record.Primary, err)
 		order = followed{}
--- a/internal/control/deploy_test.go
+++ b/internal/control/deploy_test.go
@@ -17,6 +17,7 @@
 	"github.com/cicadacove/cicadacove/internal/control"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 	"github.com/cicadacove/cicadacove/internal/faultnet"
 	"github.com/cicadacove/cicadacove/internal/peer"
 	"github.com/cicadacove/cicadacove/internal/standin"
@@ -135,7 +136,7 @@
 	d.controller = control.New(control.Options{
 		Log: control.NewMemoryLog(d.machine), State: d.machine,
 		Client: d.entries[0].client, Server: d.entries[0].server,
-		Dial: d.net.Dialer(d.entries[0].zone, string(d.entries[0].id)), Timing: timing,
+		Databases: dbcontrol.New(dbcontrol.Options{Dial: d.net.Dialer(d.entries[0].zone, string(d.entries[0].id))}), Timing: timing,
 		Observe: func(e control.Event) { d.observe(nil, e) },
 	})
 	go d.controller.Run(d.ctx)
@@ -183,7 +184,7 @@
 		Self:   ctlstate.Member{ID: e.id, Incarnation: incarnation, Zone: e.zone, PeerAddr: e.addr()},
 		Voters: d.addrs,
 		Client: e.client, Server: e.server, Timing: opts.timing,
-		Dial: d.counted(e), KeepUntilExpiry: opts.keep,
+		Databases: dbcontrol.New(dbcontrol.Options{Dial: d.counted(e)}), KeepUntilExpiry: opts.keep,
 	})
 	require.NoError(d.t, err)
 	e.mu.Lock()
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/failover"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -28,7 +28,7 @@
 	return &driver{
 		r:       r,
 		group:   g,
-		attempt: failover.NewAttempt(r.c.chart, g, r.status.LeaderSince),
+		attempt: failover.NewAttempt(r.c.chart, g, r.status.LeaderSince, r.c.opts.Upstreams.single(g)),
 		events:  make(chan failover.Event),
 		done:    make(chan struct{}),
 		cancel:  func() {},
@@ -65,12 +65,12 @@
 	if !known {
 		return running
 	}
-	name, commands := d.attempt.Handle(e, record, time.Now())
+	name, commands := d.attempt.Handle(e, record, clock.Now())
 	if name == "" {
 		return running
 	}
 	klog.Infof("control: failover of %s: %s, now %s in term %d", d.group, name, d.attempt.State(), d.attempt.Term())
-	d.r.c.observe(Event{At: time.Now(), Group: d.group, Term: d.attempt.Term(), Name: name})
+	d.r.c.observe(Event{At: clock.Now(), Group: d.group, Term: d.attempt.Term(), Name: name})
 	for _, c := range commands {
 		if _, stop := c.(failover.Stop); stop {
 			running = d.restart(ctx)
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/failover"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
@@ -16,7 +17,7 @@
 // tickGroups starts failovers of suspected primaries, and resumes those that
 // an earlier leader has begun.
 func (r *reign) tickGroups(ctx context.Context, g *errgroup.Group) {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	live := r.liveKeys(now)
@@ -30,7 +31,7 @@
 			continue
 		}
 		r.detector.Watch(id, record.Term, now)
-		if r.detector.Suspected(id, live, now) {
+		if r.primaryGone(record) || r.detector.Suspected(id, live, now) {
 			klog.Warningf("control: primary %s of %s in term %d is suspected", record.Primary, id, record.Term)
 			r.start(ctx, g, id, failover.Suspect{})
 			continue
@@ -45,6 +46,13 @@
 	}
 }
 
+// primaryGone reports whether the primary has said that it ended. It needs the
+// lock.
+func (r *reign) primaryGone(record ctlstate.GroupRecord) bool {
+	k, heard := r.registry.Get(record.ID, record.Primary)
+	return heard && k.Gone
+}
+
 // successor names the database that is to replace a leaving primary: the one
 // furthest ahead of those that may get new work. It needs the lock.
 func (r *reign) successor(record ctlstate.GroupRecord, now time.Time) (topo.UpstreamID, bool) {
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/peer"
@@ -16,6 +16,7 @@
 	peer.Handle(s, ctlwire.KindLeave, c.onLeave)
 	peer.Handle(s, ctlwire.KindEvidence, c.onEvidence)
 	peer.Handle(s, ctlwire.KindHeard, c.onHeard)
+	peer.Handle(s, ctlwire.KindHeardList, c.onHeardList)
 	peer.Handle(s, ctlwire.KindSwitchover, c.onSwitchover)
 	peer.Handle(s, ctlwire.KindRemove, c.onRemove)
 }
@@ -50,7 +51,7 @@
 // onRenew grants a lease. The quorum round begins after the renewal's
 // arrival, and the delta is read after the round.
 func (c *Controller) onRenew(ctx context.Context, req ctlwire.Renew) (ctlwire.Renewed, error) {
-	arrival := time.Now()
+	arrival := clock.Now()
 	r := c.reigning()
 	if r == nil {
 		return ctlwire.Renewed{Answer: c.notLeader()}, nil
@@ -80,15 +81,6 @@
 	return ok, nil
 }
 
-func (c *Controller) onHeard(_ context.Context, req ctlwire.Announcements) (ctlwire.Answer, error) {
-	r := c.reigning()
-	if r == nil {
-		return c.notLeader(), nil
-	}
-	r.hear(req)
-	return ok, nil
-}
-
 func (c *Controller) onSwitchover(ctx context.Context, req ctlwire.Switchover) (ctlwire.Answer, error) {
 	if c.reigning() == nil {
 		return c.notLeader(), nil
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 )
@@ -11,7 +12,7 @@
 // tickMembers brings the live view up to date and removes members that hold
 // no lease any more.
 func (r *reign) tickMembers(ctx context.Context) {
-	candidates, gone := r.judgeMembers(time.Now())
+	candidates, gone := r.judgeMembers(clock.Now())
 	for _, k := range gone {
 		r.remove(ctx, k)
 	}
@@ -54,7 +55,7 @@
 func (r *reign) markRemoved(k ctlstate.MemberKey) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.granter.Held(k, time.Now()) {
+	if r.granter.Held(k, clock.Now()) {
 		return false
 	}
 	r.removing[k] = true
--- a/internal/control/memorylog.go
+++ b/internal/control/memorylog.go
@@ -4,8 +4,8 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/voter"
 )
 
@@ -25,7 +25,7 @@
 func NewMemoryLog(machine voter.Machine) *MemoryLog {
 	return &MemoryLog{
 		machine: machine,
-		status:  voter.Status{ID: "memory", Leader: "memory", Term: 1, LeaderSince: time.Now()},
+		status:  voter.Status{ID: "memory", Leader: "memory", Term: 1, LeaderSince: clock.Now()},
 		changed: make(chan struct{}),
 	}
 }
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/failover"
 	"github.com/cicadacove/cicadacove/internal/core/lease"
@@ -45,6 +46,8 @@
 	registry  *membership.Registry
 	drivers   map[topo.GroupID]*driver
 	followers map[followKey]followed
+	// leaving are the databases that are being removed.
+	leaving map[followKey]bool
 	// inherited are the groups with a failover that an earlier leader began.
 	inherited map[topo.GroupID]bool
 	// moving are the groups whose leaving primary is being replaced.
@@ -60,7 +63,7 @@
 }
 
 func newReign(c *Controller, status voter.Status) *reign {
-	return &reign{
+	r := &reign{
 		c:            c,
 		status:       status,
 		confirm:      &confirmer{log: c.opts.Log},
@@ -72,10 +75,17 @@
 		registry:     membership.NewRegistry(c.timing.Announced),
 		drivers:      map[topo.GroupID]*driver{},
 		followers:    map[followKey]followed{},
+		leaving:      map[followKey]bool{},
 		moving:       map[topo.GroupID]bool{},
 		drainChanged: make(chan struct{}),
 		wake:         make(chan struct{}, 1),
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.registry.All() {
+		r.registry.Hear(k.Announcement, k.HeardAt)
+	}
+	return r
 }
 
 func detectorTiming(t Timing) failover.DetectorTiming {
@@ -159,6 +169,7 @@
 		Answer: ok,
 		Delta:  r.c.opts.State.Since(req.Index),
 		Config: r.c.opts.State.SectionDelta(req.Revision),
+		Voters: r.c.allVoters(),
 	}
 }
 
@@ -190,7 +201,7 @@
 func (r *reign) drained(g topo.GroupID, t topo.Term, begun time.Time) (done bool, wait time.Time, changed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	done, wait = r.granter.Drained(r.memberKeys(), g, t, begun, time.Now())
+	done, wait = r.granter.Drained(r.memberKeys(), g, t, begun, clock.Now())
 	return done, wait, r.drainChanged
 }
 
@@ -217,7 +228,7 @@
 func (r *reign) takeEvidence(req ctlwire.Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if !r.granter.Live(req.Key, now) {
 		return
 	}
@@ -235,7 +246,7 @@
 func (r *reign) hear(req ctlwire.Announcements) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, h := range req.List {
 		at := now.Add(-h.Age)
 		if r.registry.Hear(h.Announcement, at).Accepted() {
--- a/internal/control/steps.go
+++ b/internal/control/steps.go
@@ -7,11 +7,12 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/failover"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
-	"github.com/cicadacove/cicadacove/internal/dbcontrol"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
 
@@ -57,7 +58,7 @@
 			s.send(ctx, failover.LeasesDrained{Attempt: s.attempt})
 			return
 		}
-		timer := time.NewTimer(time.Until(until))
+		timer := time.NewTimer(clock.Until(until))
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -78,7 +79,11 @@
 	for _, db := range s.record.Databases {
 		go s.fenceDatabase(ctx, db, c.Term)
 	}
-	if c.Target != "" && sleep(ctx, s.r.c.timing.CatchUp) {
+	patience := s.r.c.timing.FencePatience
+	if c.Target != "" {
+		patience = s.r.c.timing.CatchUp
+	}
+	if sleep(ctx, patience) {
 		s.send(ctx, failover.PatienceOver{Attempt: s.attempt})
 	}
 }
@@ -101,14 +106,14 @@
 func (s step) tryFence(ctx context.Context, db ctlstate.Database, t topo.Term) (failover.Event, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.r.c.timing.Call)
 	defer cancel()
-	status, err := s.r.c.db.Fence(ctx, s.group, db.Addr, t)
+	status, err := s.r.c.db.Fence(ctx, locationOf(s.group, db), t)
 	if err == nil {
 		return failover.FenceConfirmed{Attempt: s.attempt, Database: db.ID, Point: status.Point}, nil
 	}
-	if !errors.Is(err, dbcontrol.ErrOutpaced) {
+	if !errors.Is(err, dbapi.ErrOutpaced) {
 		return nil, err
 	}
-	status, err = s.r.c.db.Status(ctx, s.group, db.Addr)
+	status, err = s.r.c.db.Status(ctx, locationOf(s.group, db))
 	if err != nil {
 		return nil, err
 	}
@@ -125,9 +130,9 @@
 	if !ok {
 		return
 	}
-	old, err := s.r.c.db.Fence(ctx, s.group, s.record.PrimaryAddr(), c.Term)
+	old, err := s.r.c.db.Fence(ctx, primaryOf(s.record), c.Term)
 	if err == nil {
-		_, err = s.r.c.db.Wait(ctx, s.group, target.Addr, old.Point, s.r.c.timing.CatchUp)
+		_, err = s.r.c.db.Wait(ctx, locationOf(s.group, target), old.Point, s.r.c.timing.CatchUp)
 	}
 	if err != nil {
 		klog.Warningf("control: switchover of %s: %s not brought to the primary's point: %v", s.group, c.Target, err)
@@ -140,13 +145,13 @@
 	limit, cancel := context.WithTimeout(ctx, s.r.c.timing.Promote)
 	defer cancel()
 	for {
-		_, err := s.r.c.db.Promote(limit, s.group, c.Database.Addr, c.Term)
+		status, err := s.r.c.db.Promote(limit, locationOf(s.group, c.Database), c.Term)
 		if err == nil {
-			s.send(ctx, failover.PromoteAnswer{Attempt: s.attempt, OK: true})
+			s.send(ctx, failover.PromoteAnswer{Attempt: s.attempt, OK: true, Began: status.Began})
 			return
 		}
 		klog.V(1).Infof("control: failover of %s: %s not promoted: %v", s.group, c.Database.ID, err)
-		if errors.Is(err, dbcontrol.ErrOutpaced) || !sleep(limit, stepRetry) {
+		if errors.Is(err, dbapi.ErrOutpaced) || !sleep(limit, stepRetry) {
 			s.send(ctx, failover.PromoteAnswer{Attempt: s.attempt})
 			return
 		}
--- a/internal/control/switchover.go
+++ b/internal/control/switchover.go
@@ -8,6 +8,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/failover"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 )
 
 // ErrBusy means that a failover of the group is under way already.
@@ -45,11 +46,11 @@
 func (c *Controller) catchUp(ctx context.Context, record ctlstate.GroupRecord, target ctlstate.Database) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timing.CatchUp*2)
 	defer cancel()
-	p, err := c.db.Status(ctx, record.ID, record.PrimaryAddr())
+	p, err := c.db.Status(ctx, primaryOf(record))
 	if err != nil {
 		return err
 	}
-	s, err := c.db.Wait(ctx, record.ID, target.Addr, p.Point, c.timing.CatchUp)
+	s, err := c.db.Wait(ctx, locationOf(record.ID, target), p.Point, c.timing.CatchUp)
 	if err != nil {
 		return err
 	}
@@ -78,3 +79,12 @@
 	}
 	return nil
 }
+
+// locationOf says where a database of the group is reached.
+func locationOf(g topo.GroupID, d ctlstate.Database) dbapi.Location {
+	return dbapi.Location{Group: g, ID: d.ID, Addr: d.Addr}
+}
+
+func primaryOf(record ctlstate.GroupRecord) dbapi.Location {
+	return dbapi.Location{Group: record.ID, ID: record.Primary, Addr: record.PrimaryAddr()}
+}
--- a/internal/control/voters_test.go
+++ b/internal/control/voters_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/control"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
+	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 	"github.com/cicadacove/cicadacove/internal/peer"
 	"github.com/cicadacove/cicadacove/internal/voter"
 )
@@ -61,8 +62,8 @@
 	require.NoError(v.d.t, err)
 	v.control = control.New(control.Options{
 		Log: v.voter, State: v.machine, Client: v.entry.client, Server: v.entry.server, Timing: v.timing,
-		Dial:    v.d.net.Dialer(v.entry.zone, string(v.entry.id)),
-		Observe: func(e control.Event) { v.d.observe(v, e) },
+		Databases: dbcontrol.New(dbcontrol.Options{Dial: v.d.net.Dialer(v.entry.zone, string(v.entry.id))}),
+		Observe:   func(e control.Event) { v.d.observe(v, e) },
 	})
 	log, controller := v.voter, v.control
 	v.done.Go(func() { _ = log.Run(ctx) })
--- a/internal/control/writer_test.go
+++ b/internal/control/writer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/agent"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 )
 
@@ -177,7 +178,7 @@
 				answers <- false
 				return
 			}
-			s, err := w.db.Wait(ctx, group, u.Addr, p, writeTimeout)
+			s, err := w.db.Wait(ctx, dbapi.Location{Group: group, ID: u.ID, Addr: u.Addr}, p, writeTimeout)
 			answers <- err == nil && s.FencedTerm <= a.Term && topo.Covers(s.Point, p)
 		}()
 	}
--- a/internal/core/ctlmodel/nodes_test.go
+++ b/internal/core/ctlmodel/nodes_test.go
@@ -127,7 +127,7 @@
 }
 
 func (c *controller) start(w *world, e failover.Event) {
-	c.attempt = failover.NewAttempt(w.chart, group, c.elected)
+	c.attempt = failover.NewAttempt(w.chart, group, c.elected, false)
 	c.handle(w, e)
 }
 
--- a/internal/core/ctlstate/apply.go
+++ b/internal/core/ctlstate/apply.go
@@ -224,7 +224,11 @@
 	for i := range g.Databases {
 		g.Databases[i].Retiring = g.Databases[i].Retiring && g.Databases[i].ID != g.Primary
 	}
-	g.Starts = append(g.Starts, topo.TermStart{Term: c.Term, Start: g.Attempt.Start})
+	start := topo.TermStart{Term: c.Term, Start: g.Attempt.Start}
+	if c.Began.Term != 0 {
+		start = c.Began
+	}
+	g.Starts = append(g.Starts, start)
 	if extra := len(g.Starts) - topo.MaxTermStarts; extra > 0 {
 		g.Starts = slices.Delete(g.Starts, 0, extra)
 	}
--- a/internal/core/ctlstate/command.go
+++ b/internal/core/ctlstate/command.go
@@ -79,6 +79,9 @@
 type CompleteFailover struct {
 	Group topo.GroupID `msgpack:"g"`
 	Term  topo.Term    `msgpack:"t"`
+	// Began is set for databases that number their terms themselves: their
+	// term and where it began. Zero means Term and the start that was chosen.
+	Began topo.TermStart `msgpack:"b,omitempty"`
 }
 
 // PrepareEpoch announces the next epoch. It replaces an epoch that was
--- a/internal/core/failover/attempt.go
+++ b/internal/core/failover/attempt.go
@@ -32,12 +32,19 @@
 	fenced    map[topo.UpstreamID]topo.Point
 	impatient bool
 	choice    Fenced
+	began     topo.TermStart
+	// single says that a write may be acknowledged once the primary holds it.
+	// Then no quorum can save it, and an impatient attempt takes the best of
+	// the databases that answer.
+	single bool
 }
 
 // NewAttempt returns the decisions for one failover of a group at a leader
-// that was elected at elected.
-func NewAttempt(chart *statechart.Chart, g topo.GroupID, elected time.Time) *Attempt {
+// that was elected at elected. single says that writes of the group are
+// acknowledged by the primary alone.
+func NewAttempt(chart *statechart.Chart, g topo.GroupID, elected time.Time, single bool) *Attempt {
 	return &Attempt{
+		single:  single,
 		group:   g,
 		machine: NewMachine(chart),
 		elected: elected,
@@ -130,6 +137,7 @@
 		return EventDrained
 	case PromoteAnswer:
 		if e.OK {
+			a.began = e.Began
 			return EventPromoted
 		}
 		return EventPromoteFailed
@@ -165,7 +173,11 @@
 	for _, id := range slices.Sorted(maps.Keys(a.fenced)) {
 		list = append(list, Fenced{id, a.fenced[id]})
 	}
-	choice, enough := Choose(list, a.record.FenceQuorum(), a.target)
+	quorum := a.record.FenceQuorum()
+	if a.single && a.impatient {
+		quorum = 1
+	}
+	choice, enough := Choose(list, quorum, a.target)
 	if !enough {
 		return ""
 	}
@@ -214,7 +226,7 @@
 		}})
 	case ActionProposeComplete:
 		return a.propose(StepComplete, ctlstate.Command{Complete: &ctlstate.CompleteFailover{
-			Group: a.group, Term: a.Term(),
+			Group: a.group, Term: a.Term(), Began: a.began,
 		}})
 	case ActionAskGiveBack:
 		return AskGiveBack{a.record.Term}
--- a/internal/core/failover/events.go
+++ b/internal/core/failover/events.go
@@ -46,18 +46,20 @@
 	Fenced  topo.Term
 }
 
-// PatienceOver says that a planned switchover has waited long enough for its
-// target.
+// PatienceOver says that an attempt has waited long enough for the databases
+// that have not confirmed the fence.
 type PatienceOver struct{ Attempt topo.Term }
 
 // LeasesDrained answers AwaitDrain.
 type LeasesDrained struct{ Attempt topo.Term }
 
 // PromoteAnswer answers Promote. OK is false when the database could not be
-// promoted within the time for it.
+// promoted within the time for it. Began is set where databases number their
+// terms themselves.
 type PromoteAnswer struct {
 	Attempt topo.Term
 	OK      bool
+	Began   topo.TermStart
 }
 
 func (Suspect) isEvent()        {}
--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -141,7 +141,7 @@
 }
 
 func TestAttemptPromotesTheHighestPointOfAMajority(t *testing.T) {
-	a := NewAttempt(LoadChart(charts.Read("failover.toml")), g, at(0))
+	a := NewAttempt(LoadChart(charts.Read("failover.toml")), g, at(0), false)
 	_, commands := a.Handle(Suspect{}, record(nil), at(10))
 	begin := commands[0].(Propose).Command.Begin
 	require.Equal(t, topo.Term(2), begin.Term)
@@ -169,7 +169,7 @@
 func TestResumedAttemptCountsFromTheElectionOnlyWhenInherited(t *testing.T) {
 	chosen := record(&ctlstate.Attempt{Term: 2, Chosen: "c"})
 	for inherited, begun := range map[bool]time.Time{true: at(0), false: at(10)} {
-		a := NewAttempt(LoadChart(charts.Read("failover.toml")), g, at(0))
+		a := NewAttempt(LoadChart(charts.Read("failover.toml")), g, at(0), false)
 		_, commands := a.Handle(Resume{Inherited: inherited}, chosen, at(10))
 		require.Equal(t, []Command{AskGiveBack{1}, AwaitDrain{Term: 1, Begun: begun}}, commands)
 	}
--- a/internal/core/replog/election.go
+++ b/internal/core/replog/election.go
@@ -76,6 +76,7 @@
 
 // onPreVote answers a pre-candidate. The answer binds nobody.
 func (n *Node) onPreVote(m Message) {
+	n.noteStranger(m)
 	grant := m.Term > n.hard.Term &&
 		!n.hearsLeader() &&
 		n.log.otherIsUpToDate(m.Index, m.LogTerm)
--- a/internal/core/replog/join.go
+++ b/internal/core/replog/join.go
@@ -16,8 +16,14 @@
 	// blankPeers maps the address of each peer that belongs to no cluster to
 	// its identity, as answered since this node's start.
 	blankPeers map[string]string
-	// waiting maps the address of a node that asks to join to its identity.
-	waiting map[string]string
+	// waiting maps the address of a node that asks to join to its request.
+	waiting map[string]joinRequest
+}
+
+// joinRequest is the latest request of a node that asks to join.
+type joinRequest struct {
+	id string
+	at time.Time
 }
 
 // hasMembers reports whether this node knows the members of its cluster.
@@ -62,10 +68,10 @@
 
 func (n *Node) noteWaiting(m Message) {
 	if n.waiting == nil {
-		n.waiting = map[string]string{}
+		n.waiting = map[string]joinRequest{}
 	}
 	if _, known := n.waiting[m.FromAddr]; known || len(n.waiting) < maxWaiting {
-		n.waiting[m.FromAddr] = m.From
+		n.waiting[m.FromAddr] = joinRequest{m.From, n.now}
 	}
 }
 
@@ -73,7 +79,7 @@
 func (n *Node) waitingMembers() Membership {
 	var out Membership
 	for _, addr := range slices.Sorted(maps.Keys(n.waiting)) {
-		id := n.waiting[addr]
+		id := n.waiting[addr].id
 		if _, ok := n.log.membership().Find(id); !ok {
 			out = append(out, Member{ID: id, Addr: addr})
 		}
@@ -101,7 +107,7 @@
 // answer, forbids it: the peers may be the rest of a cluster whose other disks
 // were lost.
 func (n *Node) maybeForm() {
-	if !n.isBlank() || len(n.cfg.Peers) == 0 || slices.Min(n.cfg.Peers) != n.cfg.Addr {
+	if n.cfg.JoinOnly || !n.isBlank() || len(n.cfg.Peers) == 0 || slices.Min(n.cfg.Peers) != n.cfg.Addr {
 		return
 	}
 	members := Membership{}.With(Member{ID: n.cfg.ID, Addr: n.cfg.Addr, Voter: true})
--- a/internal/core/replog/lead.go
+++ b/internal/core/replog/lead.go
@@ -99,6 +99,7 @@
 		n.broadcastHeartbeat()
 	}
 	n.promoteLearners()
+	n.tendMembers()
 }
 
 // hearsQuorum reports whether a majority of the voters, this node included,
--- a/internal/core/replog/types.go
+++ b/internal/core/replog/types.go
@@ -171,6 +171,13 @@
 	// When it lists this node's address and all others answer that they belong
 	// to none either, the node with the lowest address forms a cluster.
 	Peers []string
+	// JoinOnly forbids this node to form a cluster: its disk is empty because
+	// it is new or has lost its content.
+	JoinOnly bool
+	// Voters is how many voters the leader keeps by itself: it admits nodes
+	// that ask to join and removes voters that are silent while others can
+	// take their place. Zero leaves the members to the operator.
+	Voters int
 	// NewCluster is the random identity of the cluster that this node may
 	// form.
 	NewCluster string
--- a/internal/core/topo/topo.go
+++ b/internal/core/topo/topo.go
@@ -96,8 +96,10 @@
 	Slots       int        `json:"slots" msgpack:"s"`
 	Connections int        `json:"connections" msgpack:"c"`
 	Leaving     bool       `json:"leaving" msgpack:"l"`
-	Incarnation uint64     `json:"incarnation" msgpack:"i"`
-	Seq         uint64     `json:"seq" msgpack:"q"`
+	// Gone says that the upstream has ended its run for good.
+	Gone        bool   `json:"gone,omitempty" msgpack:"gn,omitempty"`
+	Incarnation uint64 `json:"incarnation" msgpack:"i"`
+	Seq         uint64 `json:"seq" msgpack:"q"`
 }
 
 // Newer reports whether a supersedes b, both being announcements of the same
@@ -106,7 +108,10 @@
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
 	}
-	return a.Seq > b.Seq
+	if a.Seq != b.Seq {
+		return a.Seq > b.Seq
+	}
+	return a.Gone && !b.Gone
 }
 
 // TermStart records at which position a term began: every entry of the term
@@ -133,18 +138,44 @@
 // group's present log. known is false when the history no longer reaches
 // back to p's term.
 func (g Group) Survives(p Point) (survives, known bool) {
-	if p.Term > g.Term {
+	if p.Term > g.latestTerm() {
 		return false, false
 	}
-	if p.Term == g.Term {
-		return true, true
+	limit, bounded := g.lowestStartAfter(p.Term)
+	if !bounded {
+		return p.Term == g.latestTerm(), p.Term == g.latestTerm()
 	}
+	return p.Position <= limit, true
+}
+
+// Clamp returns the last point at or before p that is part of the group's
+// present log, as far as the history tells. What was written past it is lost.
+func (g Group) Clamp(p Point) Point {
+	limit, bounded := g.lowestStartAfter(p.Term)
+	if bounded && p.Position > limit {
+		p.Position = limit
+	}
+	return p
+}
+
+// latestTerm is the term of the group's log. It differs from Term where
+// databases number their terms themselves.
+func (g Group) latestTerm() Term {
+	if len(g.Starts) == 0 {
+		return g.Term
+	}
+	return g.Starts[len(g.Starts)-1].Term
+}
+
+// lowestStartAfter returns the lowest start of the terms after t. A later term
+// may begin before an earlier one: then it rolled more back.
+func (g Group) lowestStartAfter(t Term) (lowest Position, found bool) {
 	for _, s := range g.Starts {
-		if s.Term > p.Term {
-			return p.Position <= s.Start, true
+		if s.Term > t && (!found || s.Start < lowest) {
+			lowest, found = s.Start, true
 		}
 	}
-	return false, false
+	return lowest, found
 }
 
 // Covers reports whether an upstream whose log ends at have contains the
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -14,6 +14,7 @@
 	KindLeave      = "control.leave"
 	KindEvidence   = "control.evidence"
 	KindHeard      = "control.heard"
+	KindHeardList  = "control.heardlist"
 	KindSwitchover = "control.switchover"
 	KindRemove     = "control.remove"
 )
@@ -71,6 +72,8 @@
 	Delta  ctlstate.Delta `msgpack:"d"`
 	// Config brings the member's configuration to the latest revision.
 	Config []byte `msgpack:"c,omitempty"`
+	// Voters are the peer addresses of the control voters.
+	Voters []string `msgpack:"v,omitempty"`
 }
 
 // Leave ends a member's lease for good.
--- a/internal/ctlwire/timing.go
+++ b/internal/ctlwire/timing.go
@@ -41,27 +41,31 @@
 	Promote time.Duration
 	// CatchUp is how long a planned switchover waits for its target.
 	CatchUp time.Duration
+	// FencePatience is how long a failover waits for the databases that have
+	// not confirmed the fence, where the primary alone acknowledges writes.
+	FencePatience time.Duration
 	// Remove is how long a member without a lease stays registered.
 	Remove time.Duration
 }
 
 // Defaults of the fields of Timing.
 const (
-	DefaultLease        = 1500 * time.Millisecond
-	DefaultMargin       = 50 * time.Millisecond
-	DefaultDriftPPM     = 1000
-	DefaultRenew        = 400 * time.Millisecond
-	DefaultCall         = 350 * time.Millisecond
-	DefaultProbe        = 150 * time.Millisecond
-	DefaultProbeTimeout = 300 * time.Millisecond
-	DefaultProbers      = 4
-	DefaultSilence      = 600 * time.Millisecond
-	DefaultMinority     = 5 * time.Second
-	DefaultAnnounced    = 2 * time.Second
-	DefaultTick         = 25 * time.Millisecond
-	DefaultPromote      = 600 * time.Millisecond
-	DefaultCatchUp      = 500 * time.Millisecond
-	DefaultRemove       = 10 * time.Second
+	DefaultLease         = 1500 * time.Millisecond
+	DefaultMargin        = 50 * time.Millisecond
+	DefaultDriftPPM      = 1000
+	DefaultRenew         = 400 * time.Millisecond
+	DefaultCall          = 350 * time.Millisecond
+	DefaultProbe         = 150 * time.Millisecond
+	DefaultProbeTimeout  = 300 * time.Millisecond
+	DefaultProbers       = 4
+	DefaultSilence       = 600 * time.Millisecond
+	DefaultMinority      = 5 * time.Second
+	DefaultAnnounced     = 2 * time.Second
+	DefaultTick          = 25 * time.Millisecond
+	DefaultPromote       = 600 * time.Millisecond
+	DefaultCatchUp       = 500 * time.Millisecond
+	DefaultFencePatience = 300 * time.Millisecond
+	DefaultRemove        = 10 * time.Second
 )
 
 // WithDefaults returns the timing with its zero fields set.
@@ -70,7 +74,7 @@
 		&t.Lease: DefaultLease, &t.Margin: DefaultMargin, &t.Renew: DefaultRenew, &t.Call: DefaultCall,
 		&t.Probe: DefaultProbe, &t.ProbeTimeout: DefaultProbeTimeout, &t.Silence: DefaultSilence,
 		&t.Minority: DefaultMinority, &t.Announced: DefaultAnnounced, &t.Tick: DefaultTick, &t.Promote: DefaultPromote,
-		&t.CatchUp: DefaultCatchUp, &t.Remove: DefaultRemove,
+		&t.CatchUp: DefaultCatchUp, &t.Remove: DefaultRemove, &t.FencePatience: DefaultFencePatience,
 	} {
 		if *field == 0 {
 			*field = value
--- /dev/null
+++ b/internal/dbapi/dbapi.go
@@ -0,0 +1,55 @@
+// Package dbapi is what the control side needs from databases, whatever
+// protocol they speak. internal/dbcontrol implements it over PostgreSQL.
+package dbapi
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// ErrOutpaced means that the database is fenced to a higher term.
+var ErrOutpaced = errors.New("database: fenced to a higher term")
+
+// Location says where one database of a group is reached.
+type Location struct {
+	Group topo.GroupID
+	ID    topo.UpstreamID
+	Addr  string
+}
+
+// Status is a database's answer to a control request.
+type Status struct {
+	ID   topo.UpstreamID
+	Role topo.Role
+	// Point is the end of the database's log.
+	Point topo.Point
+	// FencedTerm is the lowest term that the database accepts writes of.
+	FencedTerm topo.Term
+	// Began is set by Promote where databases number their terms themselves.
+	Began topo.TermStart
+}
+
+// Prober asks databases for their state.
+type Prober interface {
+	Status(ctx context.Context, at Location) (Status, error)
+	Close()
+}
+
+// Client asks databases for their state and changes their roles. All methods
+// are idempotent.
+type Client interface {
+	Prober
+	// Fence makes the database take no writes and no log of terms below t.
+	// Error: ErrOutpaced when it is fenced to a higher term.
+	Fence(ctx context.Context, at Location, t topo.Term) (Status, error)
+	// Promote makes the database the primary of term t and returns once it
+	// leads. Error: ErrOutpaced when it is fenced to a higher term.
+	Promote(ctx context.Context, at Location, t topo.Term) (Status, error)
+	// Follow makes the database a replica of the primary of term t.
+	Follow(ctx context.Context, at Location, t topo.Term, primaryAddr string) (Status, error)
+	// Wait returns the status as soon as the log covers p or limit has passed.
+	Wait(ctx context.Context, at Location, p topo.Point, limit time.Duration) (Status, error)
+}
--- a/internal/dbcontrol/dbcontrol.go
+++ b/internal/dbcontrol/dbcontrol.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/dbapi"
 )
 
 // codeTermRefused is the SQLSTATE with which a database refuses a lower term.
@@ -23,17 +24,11 @@
 // maxIdle bounds the idle control connections to one database.
 const maxIdle = 2
 
-// ErrOutpaced means that the database is fenced to a higher term.
-var ErrOutpaced = errors.New("dbcontrol: the database is fenced to a higher term")
-
-// Status is a database's answer to a control statement.
-type Status struct {
-	ID         topo.UpstreamID
-	Group      topo.GroupID
-	Role       topo.Role
-	Point      topo.Point
-	FencedTerm topo.Term
-}
+// Location and Status are those of dbapi.
+type (
+	Location = dbapi.Location
+	Status   = dbapi.Status
+)
 
 // Options configures a Client.
 type Options struct {
@@ -65,6 +60,8 @@
 	return &Client{opts: opts, idle: map[target][]*pgconn.PgConn{}}
 }
 
+var _ dbapi.Client = (*Client)(nil)
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -79,28 +76,28 @@
 }
 
 // Status asks for the state of the database.
-func (c *Client) Status(ctx context.Context, g topo.GroupID, addr string) (Status, error) {
-	return c.run(ctx, target{g, addr}, "SELECT cicadacove_status()")
+func (c *Client) Status(ctx context.Context, at Location) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, "SELECT cicadacove_status()")
 }
 
 // Fence makes the database refuse all terms below t.
-func (c *Client) Fence(ctx context.Context, g topo.GroupID, addr string, t topo.Term) (Status, error) {
-	return c.run(ctx, target{g, addr}, fmt.Sprintf("SELECT cicadacove_fence(%d)", t))
+func (c *Client) Fence(ctx context.Context, at Location, t topo.Term) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_fence(%d)", t))
 }
 
 // Promote makes the database the primary of term t.
-func (c *Client) Promote(ctx context.Context, g topo.GroupID, addr string, t topo.Term) (Status, error) {
-	return c.run(ctx, target{g, addr}, fmt.Sprintf("SELECT cicadacove_promote(%d)", t))
+func (c *Client) Promote(ctx context.Context, at Location, t topo.Term) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_promote(%d)", t))
 }
 
 // Follow makes the database a replica of the primary of term t.
-func (c *Client) Follow(ctx context.Context, g topo.GroupID, addr string, t topo.Term, primary string) (Status, error) {
-	return c.run(ctx, target{g, addr}, fmt.Sprintf("SELECT cicadacove_follow(%d, '%s')", t, primary))
+func (c *Client) Follow(ctx context.Context, at Location, t topo.Term, primary string) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_follow(%d, '%s')", t, primary))
 }
 
 // Wait waits until the database has the point, at most for limit.
-func (c *Client) Wait(ctx context.Context, g topo.GroupID, addr string, p topo.Point, limit time.Duration) (Status, error) {
-	return c.run(ctx, target{g, addr}, fmt.Sprintf("SELECT cicadacove_wait('%s', %d)", p, limit.Milliseconds()))
+func (c *Client) Wait(ctx context.Context, at Location, p topo.Point, limit time.Duration) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_wait('%s', %d)", p, limit.Milliseconds()))
 }
 
 // run executes a statement. A kept connection that turns out to be dead is
@@ -109,7 +106,7 @@
 	for conn := c.take(t); conn != nil; conn = c.take(t) {
 		s, err := c.exec(ctx, t, conn, sql)
 		var refused *pgconn.PgError
-		if err == nil || ctx.Err() != nil || errors.As(err, &refused) || errors.Is(err, ErrOutpaced) {
+		if err == nil || ctx.Err() != nil || errors.As(err, &refused) || errors.Is(err, dbapi.ErrOutpaced) {
 			return s, err
 		}
 	}
@@ -128,7 +125,7 @@
 	c.put(t, conn)
 	var refused *pgconn.PgError
 	if errors.As(err, &refused) && refused.Code == codeTermRefused {
-		return Status{}, ErrOutpaced
+		return Status{}, dbapi.ErrOutpaced
 	}
 	if err != nil {
 		return Status{}, fmt.Errorf("dbcontrol: %s: %w", t.addr, err)
@@ -203,7 +200,6 @@
 	}
 	return Status{
 		ID:         topo.UpstreamID(row[0]),
-		Group:      topo.GroupID(row[1]),
 		Role:       topo.Role(row[2]),
 		Point:      topo.Point{Term: topo.Term(numbers[0]), Position: topo.Position(numbers[1])},
 		FencedTerm: topo.Term(numbers[2]),
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/cicadacove/cicadacove/internal/agent"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 	"github.com/cicadacove/cicadacove/internal/entry"
 	"github.com/cicadacove/cicadacove/internal/node"
 	"github.com/cicadacove/cicadacove/internal/peer"
@@ -151,7 +152,7 @@
 		Self: ctlstate.Member{
 			ID: topo.InstanceID(fmt.Sprint("entry-", i)), Zone: "a", PeerAddr: l.Addr().String(), Incarnation: 1,
 		},
-		Voters: f.addrs, Client: client, Server: server,
+		Voters: f.addrs, Client: client, Server: server, Databases: dbcontrol.New(dbcontrol.Options{}),
 	})
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/session"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
+	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 	"github.com/cicadacove/cicadacove/internal/entry"
 	"github.com/cicadacove/cicadacove/internal/expiry"
 	"github.com/cicadacove/cicadacove/internal/grants"
@@ -147,12 +148,16 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
 		Voters: n.opts.Voters, Client: n.client, Server: n.peers, Timing: n.opts.Timing,
-		UpstreamUser: n.opts.UpstreamUser, UpstreamPassword: n.opts.UpstreamPassword,
-		Dial: n.opts.Dial, KeepUntilExpiry: n.opts.KeepLease,
+		Databases: n.databases(), KeepUntilExpiry: n.opts.KeepLease,
 	})
 	return err
 }
 
+// databases returns a client for the control statements of databases.
+func (n *Node) databases() *dbcontrol.Client {
+	return dbcontrol.New(dbcontrol.Options{User: n.opts.UpstreamUser, Password: n.opts.UpstreamPassword, Dial: n.opts.Dial})
+}
+
 func (n *Node) buildEntry(ctx context.Context) {
 	sh := n.buildShares(ctx)
 	upstreams := upstream.NewSet(n.opts.UpstreamUser, n.opts.UpstreamPassword, n.opts.Dial, func(a topo.Announcement) int {
@@ -182,8 +187,7 @@
 	configrpc.Serve(n.peers, v, sec)
 	ctl := control.New(control.Options{
 		Log: v, State: machine, Client: n.client, Server: n.peers,
-		UpstreamUser: n.opts.UpstreamUser, UpstreamPassword: n.opts.UpstreamPassword,
-		Dial: n.opts.Dial, Timing: n.opts.Timing, Observe: n.controlEvent,
+		Databases: n.databases(), Timing: n.opts.Timing, Observe: n.controlEvent,
 	})
 	n.group.Go(func() error { return v.Run(ctx) })
 	n.group.Go(func() error { return ctl.Run(ctx) })
--- a/internal/node/spread_test.go
+++ b/internal/node/spread_test.go
@@ -15,6 +15,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/revision"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
 
@@ -58,7 +59,7 @@
 			ID: topo.InstanceID(fmt.Sprint("receiver-", len(r.agents))), Zone: "a",
 			PeerAddr: l.Addr().String(), Incarnation: 1,
 		},
-		Voters: voters, Client: client, Server: server,
+		Voters: voters, Client: client, Server: server, Databases: dbcontrol.New(dbcontrol.Options{}),
 	})
 	require.NoError(b, err)
 	go server.Serve(l)
--- a/internal/voter/options.go
+++ b/internal/voter/options.go
@@ -35,7 +35,12 @@
 	Addr string
 	// Peers are the addresses of the voters, this one included. They are asked
 	// only while the store holds no cluster.
-	Peers     []string
+	Peers []string
+	// JoinOnly forbids to form a new cluster, see replog.Config.
+	JoinOnly bool
+	// Voters is how many voters the leader keeps by itself; zero leaves the
+	// members to the operator.
+	Voters    int
 	Transport Transport
 	Store     Store
 	Machine   Machine
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -75,7 +75,7 @@
 		snapshotAt: stored.Snapshot.Index,
 	}
 	v.node = replog.New(replog.Config{
-		ID: o.Store.Identity(), Addr: o.Addr, Peers: o.Peers, NewCluster: rand.Text(),
+		ID: o.Store.Identity(), Addr: o.Addr, Peers: o.Peers, JoinOnly: o.JoinOnly, Voters: o.Voters, NewCluster: rand.Text(),
 		Seed: o.Seed, Now: time.Now(),
 		HeartbeatInterval: o.HeartbeatInterval, ElectionTimeout: o.ElectionTimeout,
 		KeepEntries: o.KeepEntries, Stored: stored,
