platform: the whole path on the users' platform; engine over typed statements

Change: internal/engine serves sessions over typed statements and outcomes; connpool, groupstate and ctlview are what it shares with the PostgreSQL side. core/catalog, core/document and docstore carry the platform's configuration; platform/ decodes, encodes and wires.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -312,3 +312,10 @@
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
+
+// HasLease reports whether the lease holds now.
+func (a *Agent) HasLease() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder.Valid(a.now())
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -69,6 +69,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newServeCommand())
+	root.AddCommand(newPlatformCommand())
 	root.AddCommand(newMeasureCommand())
 	root.AddCommand(newDemoCommand())
 	root.AddCommand(newUserCommand())
--- a/internal/upstream/set.go
+++ b/internal/connpool/set.go
@@ -1,4 +1,4 @@
-package upstream
+package connpool
 
 import (
 	"context"
@@ -11,21 +11,20 @@
 )
 
 // Set holds the pools of all upstreams that the entry instance has used.
-type Set struct {
-	user, password string
-	dial           DialFunc
-	limit          func(topo.Announcement) int
+type Set[C Conn] struct {
+	open  func(topo.Announcement) OpenFunc[C]
+	limit func(topo.Announcement) int
 	// OnShort is told when a request waits for a connection because the cap
 	// is reached. It is set before the first use.
 	OnShort func(topo.UpstreamID)
 
 	mu    sync.Mutex
-	pools map[topo.UpstreamID]*Member
+	pools map[topo.UpstreamID]*Member[C]
 }
 
 // Member is one upstream's pool with its circuit.
-type Member struct {
-	*Pool
+type Member[C Conn] struct {
+	*Pool[C]
 	addr string
 	// connections is what the upstream last announced, 0 before it has
 	// announced itself here.
@@ -39,30 +38,30 @@
 }
 
 // ErrCircuitOpen ends what waits for an upstream whose circuit has opened.
-var ErrCircuitOpen = errors.New("upstream: the circuit is open")
+var ErrCircuitOpen = errors.New("connection pool: the circuit is open")
 
 // Up returns a context that ends when the circuit opens.
-func (m *Member) Up() context.Context {
+func (m *Member[C]) Up() context.Context {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.up
 }
 
-func (m *Member) renew() {
+func (m *Member[C]) renew() {
 	m.up, m.broken = context.WithCancelCause(context.Background())
 }
 
-// NewSet returns an empty set. limit says how many connections this instance
-// may hold to an upstream.
-func NewSet(user, password string, dial DialFunc, limit func(topo.Announcement) int) *Set {
-	return &Set{user: user, password: password, dial: dial, limit: limit, pools: map[topo.UpstreamID]*Member{}}
+// NewSet returns an empty set. open says how an upstream's connections are
+// opened, limit how many of them this instance may hold.
+func NewSet[C Conn](open func(topo.Announcement) OpenFunc[C], limit func(topo.Announcement) int) *Set[C] {
+	return &Set[C]{open: open, limit: limit, pools: map[topo.UpstreamID]*Member[C]{}}
 }
 
 // Get returns the pool of an upstream. When the upstream has moved to another
 // address, its old pool is closed. When it announces another number of
 // connections, for example the first after it was known by its address only,
 // the pool's limit follows.
-func (s *Set) Get(a topo.Announcement) *Member {
+func (s *Set[C]) Get(a topo.Announcement) *Member[C] {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.pools[a.ID]
@@ -76,8 +75,7 @@
 	if ok {
 		m.Close()
 	}
-	target := Target{ID: a.ID, Group: a.Group, Addr: a.Addr, User: s.user, Password: s.password, Dial: s.dial}
-	m = &Member{Pool: NewPool(target, s.limit(a)), addr: a.Addr, connections: a.Connections}
+	m = &Member[C]{Pool: NewPool(s.open(a), s.limit(a)), addr: a.Addr, connections: a.Connections}
 	m.renew()
 	m.onShort = func() { s.short(a.ID) }
 	s.pools[a.ID] = m
@@ -85,23 +83,23 @@
 }
 
 // Lookup returns the pool of an upstream that has been used.
-func (s *Set) Lookup(id topo.UpstreamID) (*Member, bool) {
+func (s *Set[C]) Lookup(id topo.UpstreamID) (*Member[C], bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.pools[id]
 	return m, ok
 }
 
-func (s *Set) short(id topo.UpstreamID) {
+func (s *Set[C]) short(id topo.UpstreamID) {
 	if s.OnShort != nil {
 		s.OnShort(id)
 	}
 }
 
 // Each calls f for every pool.
-func (s *Set) Each(f func(id topo.UpstreamID, m *Member)) {
+func (s *Set[C]) Each(f func(id topo.UpstreamID, m *Member[C])) {
 	s.mu.Lock()
-	members := make(map[topo.UpstreamID]*Member, len(s.pools))
+	members := make(map[topo.UpstreamID]*Member[C], len(s.pools))
 	for id, m := range s.pools {
 		members[id] = m
 	}
@@ -112,26 +110,26 @@
 }
 
 // Close closes all pools.
-func (s *Set) Close() {
-	s.Each(func(_ topo.UpstreamID, m *Member) { m.Close() })
+func (s *Set[C]) Close() {
+	s.Each(func(_ topo.UpstreamID, m *Member[C]) { m.Close() })
 }
 
 // Available reports whether the circuit would let a request through.
-func (m *Member) Available(now time.Time) bool {
+func (m *Member[C]) Available(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return !m.circuit.Open(now)
 }
 
 // Allow asks the circuit for one request; Succeeded or FailedAt must follow.
-func (m *Member) Allow(now time.Time) bool {
+func (m *Member[C]) Allow(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.circuit.Allow(now)
 }
 
 // Succeeded records that the upstream answered.
-func (m *Member) Succeeded() {
+func (m *Member[C]) Succeeded() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.circuit.Success()
@@ -141,7 +139,7 @@
 }
 
 // FailedAt records that the upstream did not answer.
-func (m *Member) FailedAt(now time.Time, jitter float64) {
+func (m *Member[C]) FailedAt(now time.Time, jitter float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.circuit.Failure(now, jitter)
--- a/internal/upstream/set_limit_test.go
+++ b/internal/connpool/set_limit_test.go
@@ -1,4 +1,4 @@
-package upstream
+package connpool
 
 import (
 	"testing"
@@ -8,11 +8,18 @@
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
+type fakeConn struct{ closed bool }
+
+func (c *fakeConn) Clean() bool { return !c.closed }
+func (c *fakeConn) Close()      { c.closed = true }
+func (c *fakeConn) Abort()      { c.closed = true }
+
 // A primary may be known by its address before its announcement arrives. Found
 // by TestRandomPlans with seed 3262: reads through the instance were refused for
 // good, since the pool kept the limit 0.
 func TestLimitFollowsTheFirstAnnouncement(t *testing.T) {
-	s := NewSet("", "", nil, func(a topo.Announcement) int { return a.Connections / 4 })
+	open := func(topo.Announcement) OpenFunc[*fakeConn] { return nil }
+	s := NewSet(open, func(a topo.Announcement) int { return a.Connections / 4 })
 	defer s.Close()
 	known := topo.Announcement{ID: "ledger-2/b", Addr: "127.0.0.1:1"}
 	m := s.Get(known)
--- /dev/null
+++ b/internal/core/catalog/catalog.go
@@ -0,0 +1,115 @@
+// Package catalog describes which database names callers may connect to and
+// how requests on each of them are served.
+//
+// The package is pure.
+package catalog
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/contract"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// Consistency says what a read must see.
+type Consistency string
+
+// Levels of consistency, the strictest first.
+const (
+	// Primary: every acknowledged commit.
+	Primary Consistency = "primary"
+	// OwnWrites: the session's own commits, and those of others as of
+	// Service.MaxAge ago.
+	OwnWrites Consistency = "own writes"
+	// Bounded: commits as of Service.MaxAge ago.
+	Bounded Consistency = "bounded"
+)
+
+// Route serves the callers of one database name.
+type Route struct {
+	// Database is the name that callers connect to.
+	Database string
+	// Group is the database group that serves the requests.
+	Group       topo.GroupID
+	Consistency Consistency
+	// Service holds the rank, the target of a whole operation, and the
+	// tolerated age.
+	Service contract.Service
+	// StatementTimeout bounds one statement.
+	StatementTimeout time.Duration
+}
+
+// Group says how the databases of a group may be used.
+type Group struct {
+	ID topo.GroupID
+	// Connections is the most connections to one database, of all instances.
+	Connections int
+	// Durability is how many databases hold a write before the primary
+	// acknowledges it.
+	Durability int
+}
+
+// Catalog is the whole configuration at one version. It is never changed once
+// it is in force.
+type Catalog struct {
+	Version uint64
+	// Routes has the database names as keys.
+	Routes map[string]Route
+	Groups map[topo.GroupID]Group
+	// IdleTransaction is the longest pause of a caller inside a transaction.
+	IdleTransaction time.Duration
+}
+
+// FieldError reports a field that makes a catalog invalid.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error names the field.
+func (e *FieldError) Error() string { return fmt.Sprintf("configuration: %s: %s", e.Field, e.Reason) }
+
+// Build checks the parts of a catalog and puts them together. Error:
+// *FieldError.
+func Build(version uint64, routes []Route, groups []Group, idleTransaction time.Duration) (*Catalog, error) {
+	c := &Catalog{
+		Version: version, Routes: make(map[string]Route, len(routes)),
+		Groups: make(map[topo.GroupID]Group, len(groups)), IdleTransaction: idleTransaction,
+	}
+	for _, g := range groups {
+		if g.ID == "" {
+			return nil, &FieldError{"service", "has no name"}
+		}
+		if _, twice := c.Groups[g.ID]; twice {
+			return nil, &FieldError{"service " + string(g.ID), "is given twice"}
+		}
+		c.Groups[g.ID] = g
+	}
+	for _, r := range routes {
+		if err := c.add(r); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Catalog) add(r Route) error {
+	field := "route " + r.Service.Name
+	_, known := c.Groups[r.Group]
+	_, taken := c.Routes[r.Database]
+	switch {
+	case r.Database == "":
+		return &FieldError{field, "has no database name"}
+	case taken:
+		return &FieldError{field, "serves the database name of another route"}
+	case !known:
+		return &FieldError{field, fmt.Sprintf("names the unknown service %q", r.Group)}
+	case r.StatementTimeout <= 0:
+		return &FieldError{field, "has no timeout"}
+	case r.Consistency != Primary && r.Consistency != OwnWrites && r.Consistency != Bounded:
+		return &FieldError{field, fmt.Sprintf("has the unknown consistency %q", r.Consistency)}
+	}
+	c.Routes[r.Database] = r
+	return nil
+}
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -48,6 +48,19 @@
 	CodeProtocol = "08P01"
 	// CodeUnknownResult: the transaction's resolution is unknown.
 	CodeUnknownResult = "08007"
+	// CodeLagging: no upstream holds what the read must see, not run.
+	CodeLagging = "CC009"
+	// CodeReadOnly: the upstream takes no writes, not run.
+	CodeReadOnly = "25006"
+	// CodeRolledBack: the transaction was rolled back and nothing of it is
+	// kept.
+	CodeRolledBack = "40000"
+	// CodeNoDatabase: callers cannot connect to this database name, not run.
+	CodeNoDatabase = "3D000"
+	// CodeNoStatement: no prepared statement has this name, not run.
+	CodeNoStatement = "26000"
+	// CodeUpstreamFailed: the upstream answered with an error of its own.
+	CodeUpstreamFailed = "XX000"
 	// CodeTimeout: the request passed its limit and did not take effect.
 	CodeTimeout = "57014"
 )
--- /dev/null
+++ b/internal/core/routing/place.go
@@ -0,0 +1,45 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// Offer is an upstream that may serve a read and proves by itself that its log
+// covers the required point, so the primary is an offer like the others.
+type Offer struct {
+	ID topo.UpstreamID
+	// Point is the last known point; Lag is the usual delay behind the
+	// primary.
+	Point topo.Point
+	Lag   time.Duration
+	// Answer is the usual time from a statement to its answer, QueueWait the
+	// expected wait for a slot at this entry instance.
+	Answer    time.Duration
+	QueueWait time.Duration
+	// Detour is what the way to another availability zone counts for.
+	Detour time.Duration
+}
+
+// minLag is assumed of an upstream that is not known to cover the point.
+const minLag = 10 * time.Millisecond
+
+func (o Offer) cost(required topo.Point) time.Duration {
+	c := o.Answer + o.QueueWait + o.Detour
+	if !topo.Covers(o.Point, required) {
+		c += max(o.Lag, minLag)
+	}
+	return c
+}
+
+// Place returns the offer from which the answer is expected first. Of equal
+// ones the first wins. ok is false without an offer.
+func Place(required topo.Point, offers []Offer) (best Offer, ok bool) {
+	for _, o := range offers {
+		if !ok || o.cost(required) < best.cost(required) {
+			best, ok = o, true
+		}
+	}
+	return best, ok
+}
--- /dev/null
+++ b/internal/core/routing/place_test.go
@@ -0,0 +1,40 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+func TestPlaceWeighsWaitLagAndDetour(t *testing.T) {
+	const ms = time.Millisecond
+	required := topo.Point{Term: 3, Position: 100}
+	behind, ahead := topo.Point{Term: 3, Position: 90}, topo.Point{Term: 3, Position: 101}
+	cases := []struct {
+		name   string
+		offers []Offer
+		want   topo.UpstreamID
+	}{
+		{"the same zone is preferred", []Offer{
+			{ID: "far", Point: ahead, Answer: 20 * ms, Detour: 5 * ms}, {ID: "near", Point: ahead, Answer: 20 * ms},
+		}, "near"},
+		{"a long queue outweighs the way", []Offer{
+			{ID: "far", Point: ahead, Answer: 20 * ms, Detour: 5 * ms}, {ID: "near", Point: ahead, Answer: 20 * ms, QueueWait: 30 * ms},
+		}, "far"},
+		{"a replica that has to catch up costs its lag", []Offer{
+			{ID: "late", Point: behind, Lag: 50 * ms, Answer: 20 * ms}, {ID: "primary", Point: ahead, Answer: 40 * ms},
+		}, "primary"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			best, ok := Place(required, c.offers)
+			require.True(t, ok)
+			require.Equal(t, c.want, best.ID)
+		})
+	}
+	_, ok := Place(required, nil)
+	require.False(t, ok)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cicadacove/cicadacove/internal/clock"
+	"github.com/cicadacove/cicadacove/internal/connpool"
+	"github.com/cicadacove/cicadacove/internal/core/admission"
+	"github.com/cicadacove/cicadacove/internal/core/catalog"
+	"github.com/cicadacove/cicadacove/internal/core/outcome"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/ctlview"
+	"github.com/cicadacove/cicadacove/internal/groupstate"
+)
+
+// Options configure an Engine.
+type Options[C Conn] struct {
+	Zone    topo.Zone
+	Control ctlview.Control
+	// Catalog returns the configuration in force, nil before the first one.
+	Catalog func() *catalog.Catalog
+	// Open returns how connections to an upstream are opened.
+	Open func(topo.Announcement) connpool.OpenFunc[C]
+	// Instances returns how many entry instances share the upstreams.
+	Instances func() int
+	// Events is told of decisions; nil tells nobody.
+	Events Events
+}
+
+// Engine serves sessions. It is safe for concurrent use.
+type Engine[C Conn] struct {
+	opts   Options[C]
+	groups *groupstate.Set
+	pools  *connpool.Set[*link[C]]
+	nextID atomic.Uint64
+
+	mu       sync.Mutex
+	draining bool
+}
+
+// New returns an engine without sessions.
+func New[C Conn](opts Options[C]) *Engine[C] {
+	if opts.Events == nil {
+		opts.Events = noEvents{}
+	}
+	e := &Engine[C]{opts: opts, groups: groupstate.New(admission.Ranked, wholeShare{})}
+	e.pools = connpool.NewSet(e.openLink, e.connectionShare)
+	return e
+}
+
+// wholeShare lets the gates use all slots of an upstream: the upstream queues
+// what several instances send at once.
+type wholeShare struct{}
+
+func (wholeShare) Use(topo.Announcement)           {}
+func (wholeShare) Slots(topo.UpstreamID) int       { return 0 }
+func (wholeShare) Average(topo.UpstreamID) float64 { return 0 }
+func (wholeShare) Poke(topo.UpstreamID)            {}
+
+// connectionShare is this instance's part of an upstream's connections.
+func (e *Engine[C]) connectionShare(a topo.Announcement) int {
+	limit := a.Connections
+	if c := e.opts.Catalog(); c != nil {
+		if g, ok := c.Groups[a.Group]; ok {
+			limit = g.Connections
+		}
+	}
+	return max(limit/max(e.opts.Instances(), 1), 1)
+}
+
+// Open starts a session on a database name. The outcome tells why there is
+// none.
+func (e *Engine[C]) Open(database string) (*Session[C], outcome.Outcome) {
+	c := e.opts.Catalog()
+	if c == nil {
+		return nil, outcome.Refused(outcome.CodeNoUpstream, "this entry instance has no configuration yet")
+	}
+	if _, ok := c.Routes[database]; !ok {
+		return nil, noDatabase(database)
+	}
+	return newSession(e, database), outcome.Outcome{}
+}
+
+func noDatabase(name string) outcome.Outcome {
+	return outcome.Refused(outcome.CodeNoDatabase, "no route serves the database "+name)
+}
+
+const (
+	// tendEvery is the interval at which pools and positions are looked after.
+	tendEvery = 100 * time.Millisecond
+	// askTimeout bounds a question for the primary's position.
+	askTimeout = 500 * time.Millisecond
+	// sampleAt is the part of the tolerated age after which the primary's
+	// position is asked for, if no answer has told it meanwhile.
+	sampleAt = 0.5
+)
+
+// Run does what callers do not wait for, until ctx ends.
+func (e *Engine[C]) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tendEvery)
+	defer ticker.Stop()
+	defer e.pools.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.tend(ctx)
+		}
+	}
+}
+
+func (e *Engine[C]) tend(ctx context.Context) {
+	e.pools.Each(func(_ topo.UpstreamID, m *connpool.Member[*link[C]]) { m.Reap(time.Now()) })
+	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
+		if !g.StartSampleAfter(sampleAt, clock.Now()) {
+			return
+		}
+		go func() {
+			defer g.EndSample()
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			if err := e.samplePrimary(ctx, id); err != nil {
+				klog.V(2).Infof("engine: position of %s not learned: %v", id, err)
+			}
+		}()
+	})
+}
+
+// samplePrimary learns the primary's position from the answer to a statement
+// that takes no slot.
+func (e *Engine[C]) samplePrimary(ctx context.Context, id topo.GroupID) error {
+	auth, ok := e.opts.Control.Authority(id)
+	if !ok {
+		return errNoAuthority
+	}
+	m := e.pools.Get(auth.Primary)
+	l, err := m.Acquire(ctx, 0)
+	if err != nil {
+		return err
+	}
+	defer m.Release(l)
+	sentAt := clock.Now()
+	results, err := l.reset(ctx)
+	if err != nil {
+		return err
+	}
+	if !e.opts.Control.Holds(id, auth.Term) {
+		return errNoAuthority
+	}
+	e.groups.Get(id).ObservePrimary(results.Point, sentAt)
+	e.opts.Control.ReportPrimary(id, auth.Term, true)
+	return nil
+}
+
+// callerName names a session for the fairness among callers.
+func (e *Engine[C]) callerName() uint64 { return e.nextID.Add(1) }
+
+// jitter is a random part of an interval.
+func jitter() float64 { return rand.Float64() }
--- /dev/null
+++ b/internal/engine/events.go
@@ -0,0 +1,34 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/catalog"
+	"github.com/cicadacove/cicadacove/internal/core/outcome"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// Ended describes the end of one statement.
+type Ended struct {
+	ID       string
+	Database string
+	Route    catalog.Route
+	Verb     Verb
+	Outcome  outcome.Outcome
+	Upstream topo.UpstreamID
+	// Term is that of the lease the answer depended on, zero without one.
+	Term topo.Term
+	// Required is the point that a read had to cover.
+	Required topo.Point
+	Attempts int
+	Took     time.Duration
+}
+
+// Events is told of decisions. Its methods must not wait.
+type Events interface {
+	Ended(Ended)
+}
+
+type noEvents struct{}
+
+func (noEvents) Ended(Ended) {}
--- /dev/null
+++ b/internal/engine/transaction.go
@@ -0,0 +1,204 @@
+package engine
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cicadacove/cicadacove/internal/core/catalog"
+	"github.com/cicadacove/cicadacove/internal/core/outcome"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// transaction is a caller's open transaction. It has a connection from its
+// first statement on.
+type transaction[C Conn] struct {
+	route    catalog.Route
+	readOnly bool
+	access   *access[C]
+	at       seat
+	// wrote says that a statement of it may have written.
+	wrote bool
+}
+
+// begin opens a transaction. The upstream hears of it with the first
+// statement, so that a caller who pauses right away holds no connection.
+func (s *Session[C]) begin(st Statement) Reply {
+	if s.tx != nil {
+		return protocolError("a transaction is open already")
+	}
+	route, ok := s.route()
+	if !ok {
+		return refused(noDatabase(s.database))
+	}
+	s.told.Route = route
+	s.tx = &transaction[C]{route: route, readOnly: st.ReadOnly}
+	return done()
+}
+
+func (s *Session[C]) rollback() Reply {
+	if s.tx == nil {
+		return protocolError("no transaction is open")
+	}
+	s.endTransaction()
+	return done()
+}
+
+// endTransaction gives the connection back; what is open on it is rolled back.
+func (s *Session[C]) endTransaction() {
+	if s.tx != nil && s.tx.access != nil {
+		s.tx.access.close()
+	}
+	s.tx = nil
+}
+
+// failTransaction rolls back; the caller has to end the transaction.
+func (s *Session[C]) failTransaction() {
+	s.endTransaction()
+	s.failed = true
+}
+
+// failWith rolls back and tells why.
+func (s *Session[C]) failWith(o outcome.Outcome) Reply {
+	s.failTransaction()
+	return refused(o)
+}
+
+// continueTransaction runs a statement of the open transaction.
+func (s *Session[C]) continueTransaction(ctx context.Context, w work) Reply {
+	tx := s.tx
+	fresh := tx.access == nil
+	if fresh {
+		if o := s.startTransaction(ctx, w); o.Kind != "" {
+			return s.failWith(o)
+		}
+	}
+	s.told.Upstream, s.told.Term, s.told.Required = tx.at.upstream.ID, tx.at.term, tx.at.required
+	if !fresh {
+		w.inTransaction = true
+		o, err := tx.access.open(ctx, w.request)
+		if err != nil {
+			o = unusable(err)
+		}
+		if o.Kind != "" {
+			return s.failWith(o)
+		}
+	}
+	defer tx.access.releaseSlot()
+	if w.statement.Verb == Commit {
+		return s.commit(ctx, w)
+	}
+	return s.runInTransaction(ctx, w)
+}
+
+// startTransaction opens the transaction at an upstream. The outcome tells why
+// it could not.
+func (s *Session[C]) startTransaction(ctx context.Context, w work) outcome.Outcome {
+	last := noPrimary()
+	avoid := map[topo.UpstreamID]bool{}
+	for attempt := 1; attempt <= maxReadAttempts && ctx.Err() == nil; attempt++ {
+		s.told.Attempts = attempt
+		at, o, ok := s.placeTransaction(ctx, w, avoid)
+		if !ok {
+			return o
+		}
+		a := s.engine.newAccess(at.upstream, at.term)
+		o, again := s.beginAt(ctx, w, a, at)
+		if o.Kind == "" {
+			s.tx.access, s.tx.at = a, at
+			return o
+		}
+		a.close()
+		if !again {
+			return o
+		}
+		last = o
+		avoid[at.upstream.ID] = true
+	}
+	return last
+}
+
+func (s *Session[C]) placeTransaction(ctx context.Context, w work, avoid map[topo.UpstreamID]bool) (seat, outcome.Outcome, bool) {
+	if s.tx.readOnly {
+		return s.place(w, avoid)
+	}
+	auth, ok := s.awaitPrimary(ctx, w)
+	return primarySeat(auth, ok && !avoid[auth.Primary.ID])
+}
+
+func (s *Session[C]) beginAt(ctx context.Context, w work, a *access[C], at seat) (o outcome.Outcome, again bool) {
+	o, err := a.open(ctx, w.request)
+	if err != nil {
+		return unusable(err), true
+	}
+	if o.Kind != "" {
+		return o, false
+	}
+	if _, err := a.link.setUp(ctx, s.values, w.def); err != nil {
+		return unusable(err), true
+	}
+	begin := Statement{Verb: Begin, ReadOnly: s.tx.readOnly, After: at.required}
+	r, err := a.run(ctx, begin)
+	if err != nil {
+		return unusable(err), true
+	}
+	if r.Code == CodeNone {
+		return outcome.Outcome{}, false
+	}
+	if again, o := rereads(r.Code); again {
+		return o, true
+	}
+	return outcomeOf(r), false
+}
+
+// runInTransaction runs a read or a write of the transaction. Without its
+// answer the transaction is rolled back, so nothing of it is kept.
+func (s *Session[C]) runInTransaction(ctx context.Context, w work) Reply {
+	tx := s.tx
+	tx.wrote = tx.wrote || w.writes
+	result, err := s.execute(ctx, tx.access, w, topo.Point{})
+	if err != nil {
+		return s.failWith(rolledBack(err.Error()))
+	}
+	if result.Code == CodeNone {
+		return s.answer(result, tx.at, false)
+	}
+	o := outcomeOf(result)
+	if result.Code.notRun() || o.Kind == outcome.Unknown {
+		o = rolledBack(string(result.Code) + " " + result.Detail)
+	}
+	return s.failWith(o)
+}
+
+// rolledBack is the outcome of a transaction whose COMMIT was never sent.
+func rolledBack(reason string) outcome.Outcome {
+	return outcome.Refused(outcome.CodeRolledBack, "the transaction is rolled back: "+reason)
+}
+
+// commit ends the transaction. The connection goes back to its pool.
+func (s *Session[C]) commit(ctx context.Context, w work) Reply {
+	tx := s.tx
+	if tx.at.term != 0 && !s.engine.opts.Control.Holds(w.route.Group, tx.at.term) {
+		s.endTransaction()
+		return refused(rolledBack("the lease on the primary's term has ended"))
+	}
+	result, err := s.execute(ctx, tx.access, w, topo.Point{})
+	s.endTransaction()
+	if err != nil {
+		return refused(lostCommit(ctx, err))
+	}
+	if result.Code == CodeNone && tx.wrote {
+		s.committed(w.route.Group, result.Point)
+	}
+	if result.Code.notRun() {
+		return refused(rolledBack(string(result.Code) + " " + result.Detail))
+	}
+	return s.answer(result, tx.at, tx.wrote)
+}
+
+func lostCommit(ctx context.Context, err error) outcome.Outcome {
+	var setUp *SetUpError
+	if errors.As(err, &setUp) {
+		return rolledBack(err.Error())
+	}
+	return lostWrite(ctx, err)
+}
--- /dev/null
+++ b/internal/engine/types.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"context"
+
+	"github.com/cicadacove/cicadacove/internal/core/outcome"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// Verb is the kind of a statement.
+type Verb int
+
+// Verbs.
+const (
+	Begin Verb = iota + 1
+	Commit
+	Rollback
+	Read
+	Write
+	// Set changes a session value.
+	Set
+	// Prepare names a statement, Execute runs it and Deallocate forgets it.
+	Prepare
+	Execute
+	Deallocate
+	// Reset clears the values and prepared statements of a connection. Callers
+	// do not send it.
+	Reset
+)
+
+// Definition is what a prepared statement does.
+type Definition struct {
+	Writes bool
+	Shape  string
+}
+
+// Statement is one request of a caller, or of the engine to an upstream.
+type Statement struct {
+	// ID names the request, empty for the engine's own statements.
+	ID   string
+	Verb Verb
+	// ReadOnly marks a Begin whose transaction only reads.
+	ReadOnly bool
+	// Text is passed on unchanged: the item and data of Read, Write and
+	// Execute.
+	Text string
+	// Name is that of a session value or of a prepared statement.
+	Name string
+	// Value is the session value.
+	Value      string
+	Definition Definition
+	// After is the point that the upstream's log must hold before it runs a
+	// Read, an Execute that reads or a Begin. Zero asks for nothing.
+	After topo.Point
+}
+
+// TxState is the state of a session's transaction.
+type TxState byte
+
+// States of a transaction.
+const (
+	TxNone   TxState = 'I'
+	TxOpen   TxState = 'T'
+	TxFailed TxState = 'E'
+)
+
+// Reply answers one statement of a caller.
+type Reply struct {
+	// Outcome tells success (Done) or the reason of a failure.
+	Outcome outcome.Outcome
+	Rows    []string
+	// Signature is the upstream's proof that it ran the statement, empty when
+	// the engine answered by itself.
+	Signature string
+	State     TxState
+
+	// guard is set when the answer depends on the primary of a term.
+	guard *guard
+}
+
+// guard names the lease under which a reply may be delivered.
+type guard struct {
+	group topo.GroupID
+	term  topo.Term
+	// writes says that the upstream may have committed a write.
+	writes bool
+}
+
+// Code is an upstream's reason not to do what it was asked for.
+type Code string
+
+// Codes. The first ones promise that the statement did not run.
+const (
+	CodeNone        Code = ""
+	CodeBusy        Code = "busy"
+	CodeNoStatement Code = "no such prepared statement"
+	CodeLagging     Code = "lagging"
+	CodeReadOnly    Code = "read only"
+	CodeTooMany     Code = "too many connections"
+	CodeMisrouted   Code = "another upstream"
+	// CodeFailed and CodeTimeout tell that it ran.
+	CodeFailed  Code = "failed"
+	CodeTimeout Code = "timeout"
+	// CodeOther promises nothing.
+	CodeOther Code = "other"
+)
+
+// notRun reports whether the code promises that the statement did not run.
+func (c Code) notRun() bool {
+	switch c {
+	case CodeBusy, CodeNoStatement, CodeLagging, CodeReadOnly, CodeTooMany, CodeMisrouted:
+		return true
+	}
+	return false
+}
+
+// Result is an upstream's answer to one statement.
+type Result struct {
+	Rows      []string
+	Signature string
+	Code      Code
+	// Detail is the upstream's text beside a code.
+	Detail string
+	State  TxState
+	// Point is the end of the upstream's log as of the answer.
+	Point topo.Point
+}
+
+// Conn is one connection to an upstream. One goroutine uses it at a time.
+type Conn interface {
+	comparable
+	// Run sends the statements in one go and reads their answers. An error
+	// means that the connection is broken: it is closed, and the statements
+	// without an answer may have run.
+	Run(ctx context.Context, statements ...Statement) ([]Result, error)
+	// Alive reports whether the upstream has not closed the connection.
+	Alive() bool
+	Clean() bool
+	Close()
+	Abort()
+}
+
+// RefusedError is an upstream's refusal of a connection.
+type RefusedError struct {
+	Upstream topo.UpstreamID
+	Code     Code
+	Detail   string
+}
+
+// Error names the upstream.
+func (e *RefusedError) Error() string {
+	return "upstream " + string(e.Upstream) + " refused the connection: " + string(e.Code) + " " + e.Detail
+}
--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/gate"
@@ -32,10 +33,10 @@
 	s := l.session.server
 	ctx, cancel := l.whileUp(ctx)
 	defer cancel()
-	g := s.groups.get(l.session.group)
-	gt := g.gate(l.ann)
+	g := s.groups.Get(l.session.group)
+	gt := g.Gate(l.ann)
 	service := req.service
-	service.Target = g.slotTarget(service)
+	service.Target = g.SlotTarget(service)
 	permit, o := gt.Acquire(ctx, gate.Request{
 		Service: service, Caller: l.session.name, Arrived: req.arrived, InTransaction: inTransaction,
 	})
@@ -66,7 +67,7 @@
 // not with the request.
 func unusable(ctx context.Context) error {
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errLeaseEnded) || errors.Is(cause, upstream.ErrCircuitOpen) {
+	if errors.Is(cause, errLeaseEnded) || errors.Is(cause, connpool.ErrCircuitOpen) {
 		return cause
 	}
 	return nil
@@ -80,9 +81,9 @@
 	var ce *upstream.ConnectError
 	refusedByDatabase := errors.As(err, &ce) && ce.Code != ""
 	switch {
-	case refusedByDatabase || errors.Is(err, upstream.ErrExhausted):
+	case refusedByDatabase || errors.Is(err, connpool.ErrExhausted):
 		l.member.Succeeded()
-	case errors.Is(err, upstream.ErrSlow):
+	case errors.Is(err, connpool.ErrSlow):
 		l.member.FailedAt(time.Now(), rand.Float64())
 	default:
 		l.reportUnreachable()
@@ -115,15 +116,15 @@
 func (l *access) answered(sentAt time.Time, point topo.Point) {
 	now := time.Now()
 	l.member.Succeeded()
-	g := l.session.server.groups.get(l.session.group)
-	g.observeAnswer(l.ann.ID, now.Sub(sentAt))
+	g := l.session.server.groups.Get(l.session.group)
+	g.ObserveAnswer(l.ann.ID, now.Sub(sentAt))
 	if l.term == 0 {
-		g.observeReplica(l.ann.ID, point, now)
+		g.ObserveReplica(l.ann.ID, point, now)
 		return
 	}
 	l.session.server.opts.Control.ReportPrimary(l.session.group, l.term, true)
 	if l.session.server.opts.Control.Holds(l.session.group, l.term) {
-		g.observePrimary(point, sentAt)
+		g.ObservePrimary(point, sentAt)
 	}
 }
 
@@ -139,7 +140,7 @@
 // gone.
 func (l *access) whileUp(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(l.member.Up(), func() { cancel(upstream.ErrCircuitOpen) })
+	stop := context.AfterFunc(l.member.Up(), func() { cancel(connpool.ErrCircuitOpen) })
 	return ctx, func() {
 		stop()
 		cancel(nil)
--- a/internal/entry/housekeeping.go
+++ b/internal/entry/housekeeping.go
@@ -9,17 +9,13 @@
 
 	"github.com/cicadacove/cicadacove/internal/core/requestid"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/groupstate"
 	"github.com/cicadacove/cicadacove/internal/upstream"
 )
 
 const (
 	// sampleTick is how often the ages of the primaries' positions are looked at.
 	sampleTick = 25 * time.Millisecond
-	// sampleShare is the part of the lowest tolerated age after which the
-	// primary's position is asked for again.
-	sampleShare = 4
-	// activeFor is how long after its last read a group counts as in use.
-	activeFor = 2 * time.Second
 	// poolTick is how often pools are warmed and reaped.
 	poolTick = 250 * time.Millisecond
 	// warmIdle is how many connections are kept open ahead for each upstream
@@ -57,12 +53,12 @@
 // sampleAll asks for the positions of the primaries whose replicas serve reads.
 func (s *Server) sampleAll(ctx context.Context) {
 	now := time.Now()
-	s.groups.each(func(id topo.GroupID, g *group) {
-		if !g.startSample(now) {
+	s.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
+		if !g.StartSample(now) {
 			return
 		}
 		go func() {
-			defer g.endSample()
+			defer g.EndSample()
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
 			if err := s.samplePrimary(ctx, id); err != nil {
@@ -79,8 +75,8 @@
 		m.Reap(now)
 		s.closeExcess(id, m)
 	})
-	s.groups.each(func(id topo.GroupID, g *group) {
-		if !g.active(now) {
+	s.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
+		if !g.Active(now) {
 			return
 		}
 		state, _ := s.opts.Control.Group(id)
@@ -100,7 +96,7 @@
 		pause := purgeEvery/2 + time.Duration(rand.Int64N(int64(purgeEvery)))
 		select {
 		case <-time.After(pause):
-			s.groups.each(func(id topo.GroupID, _ *group) { s.purge(ctx, id) })
+			s.groups.Each(func(id topo.GroupID, _ *groupstate.Group) { s.purge(ctx, id) })
 		case <-ctx.Done():
 			return
 		}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -24,14 +24,13 @@
 // leaseContext returns a context that ends when the lease no longer covers
 // the term.
 func (s *Server) leaseContext(id topo.GroupID, term topo.Term) context.Context {
-	g := s.groups.get(id)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.lease != nil && g.lease.term == term && g.lease.ctx.Err() == nil {
-		return g.lease.ctx
+	s.leaseMu.Lock()
+	defer s.leaseMu.Unlock()
+	if l := s.leases[id]; l != nil && l.term == term && l.ctx.Err() == nil {
+		return l.ctx
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	g.lease = &termLease{term, ctx}
+	s.leases[id] = &termLease{term, ctx}
 	go s.watchLease(id, term, cancel)
 	return ctx
 }
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/statement"
@@ -51,7 +52,7 @@
 	}
 	c.server.countAttempt()
 	if req.service.MaxAge > 0 {
-		c.server.groups.get(c.group).noteRead(req.service.MaxAge, req.arrived)
+		c.server.groups.Get(c.group).NoteRead(req.service.MaxAge, req.arrived)
 	}
 	refused := outcome.Refused(outcome.CodeNoUpstream, "no upstream answered in time")
 	avoid := map[topo.UpstreamID]bool{}
@@ -87,7 +88,7 @@
 // unanswered is the outcome of a read that no upstream answered, by the error
 // of the last one.
 func unanswered(err error) outcome.Outcome {
-	if errors.Is(err, upstream.ErrExhausted) || errors.Is(err, upstream.ErrSlow) {
+	if errors.Is(err, connpool.ErrExhausted) || errors.Is(err, connpool.ErrSlow) {
 		return outcome.RefusedFor(outcome.CodeOverloaded, "no connection to an upstream is free", readHint)
 	}
 	return outcome.RefusedFor(outcome.CodeNoUpstream, "no upstream answered in time: "+err.Error(), readHint)
@@ -104,7 +105,7 @@
 func (c *callerSession) route(req *request, want readPoint, avoid map[topo.UpstreamID]bool) (routing.Decision, choices) {
 	ctl := c.server.opts.Control
 	now := time.Now()
-	g := c.server.groups.get(c.group)
+	g := c.server.groups.Get(c.group)
 	state, _ := ctl.Group(c.group)
 	ch := choices{upstreams: map[topo.UpstreamID]topo.Announcement{}}
 	ch.authority, ch.hasAuthority = ctl.Authority(c.group)
@@ -116,11 +117,11 @@
 		}
 		ch.upstreams[u.ID] = u.Announcement
 		if u.ID != state.Primary {
-			replicas = append(replicas, g.candidate(u, req.service.Rank))
+			replicas = append(replicas, g.Candidate(u.Announcement, u.HeardAt, req.service.Rank))
 		}
 	}
 	if ch.hasAuthority && !avoid[ch.authority.Primary.ID] {
-		p := g.candidate(Upstream{Announcement: ch.authority.Primary}, req.service.Rank)
+		p := g.Candidate(ch.authority.Primary, time.Time{}, req.service.Rank)
 		ch.upstreams[p.ID] = ch.authority.Primary
 		primary = &p
 	}
@@ -131,7 +132,7 @@
 		Patience:  min(maxPatience, time.Until(req.deadline)/2),
 		Spare:     min(maxPatience, req.service.Target/spareShare),
 	}
-	return g.choose(c.server.opts.Routing, now, state, r, replicas, primary), ch
+	return g.Choose(c.server.opts.Routing, now, state, r, replicas, primary), ch
 }
 
 // replaced reports whether the upstream takes itself for a primary and is not:
@@ -296,6 +297,6 @@
 	if st.Role != topo.RolePrimary || !s.opts.Control.Holds(id, auth.Term) {
 		return errNoAuthority
 	}
-	s.groups.get(id).observePrimary(st.Point, sentAt)
+	s.groups.Get(id).ObservePrimary(st.Point, sentAt)
 	return nil
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/session"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/groupstate"
 	"github.com/cicadacove/cicadacove/internal/peer"
 	"github.com/cicadacove/cicadacove/internal/upstream"
 )
@@ -81,11 +82,14 @@
 // Server serves callers.
 type Server struct {
 	opts      Options
-	groups    groupSet
+	groups    *groupstate.Set
 	confirmer *upstream.Confirmer
 	callers   atomic.Int64
 	nextPID   atomic.Uint32
 
+	leaseMu sync.Mutex
+	leases  map[topo.GroupID]*termLease
+
 	registryMu sync.Mutex
 	registry   *session.Registry
 
@@ -112,12 +116,12 @@
 	}
 	s := &Server{
 		opts:     opts,
+		groups:   groupstate.New(opts.Admission, opts.Shares),
+		leases:   map[topo.GroupID]*termLease{},
 		registry: session.NewRegistry(registrySessions, registryRetention),
 		budget:   retry.NewBudget(),
 		sessions: map[uint32]*callerSession{},
 	}
-	s.groups.admission = opts.Admission
-	s.groups.shares = opts.Shares
 	opts.Upstreams.OnShort = opts.Shares.Poke
 	s.confirmer = upstream.NewConfirmer(s.observeStatus)
 	s.nextPID.Store(rand.Uint32() >> 1)
@@ -250,5 +254,5 @@
 }
 
 func (s *Server) observeStatus(st upstream.Status, at time.Time) {
-	s.groups.get(st.Group).observeReplica(st.ID, st.Point, at)
+	s.groups.Get(st.Group).ObserveReplica(st.ID, st.Point, at)
 }
--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -3,20 +3,18 @@
 import (
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/groupstate"
 	"github.com/cicadacove/cicadacove/internal/upstream"
 )
 
 // Shares says which part of each upstream's slots and connections this
 // instance may use. The parts change with the demand of all instances.
 type Shares interface {
-	// Use tells that the instance has work for the upstream.
-	Use(a topo.Announcement)
-	// Slots and Average are the slots held now and over time.
-	Slots(id topo.UpstreamID) int
-	Average(id topo.UpstreamID) float64
+	groupstate.Shares
 	// Floors is what each rank is due over time, in slots.
 	Floors(id topo.UpstreamID) [contract.Ranks + 1]float64
 	// Connections is the most connections that may be open.
@@ -24,8 +22,6 @@
 	// MustClose is how many of the open connections must be closed now,
 	// busy or not.
 	MustClose(id topo.UpstreamID, open int) int
-	// Poke tells that a request waits.
-	Poke(id topo.UpstreamID)
 }
 
 // fixedShares lets this instance use everything that an upstream has. It is
@@ -42,7 +38,7 @@
 
 // ShareChanged applies this instance's present share of an upstream.
 func (s *Server) ShareChanged(id topo.UpstreamID) {
-	if gt, ok := s.groups.gateOf(id); ok {
+	if gt, ok := s.groups.GateOf(id); ok {
 		gt.SetFloors(s.opts.Shares.Floors(id))
 		gt.SetShare(s.opts.Shares.Slots(id), s.opts.Shares.Average(id))
 	}
@@ -58,7 +54,7 @@
 // Usage returns what this instance uses of an upstream: the load of its gate,
 // the open connections, and those that are in use, waited for or spare.
 func (s *Server) Usage(id topo.UpstreamID) (load admission.Load, open, needed int) {
-	if gt, ok := s.groups.gateOf(id); ok {
+	if gt, ok := s.groups.GateOf(id); ok {
 		load = gt.Load()
 	}
 	if m, ok := s.opts.Upstreams.Lookup(id); ok {
@@ -80,16 +76,16 @@
 	Upstream topo.UpstreamID
 	Group    topo.GroupID
 	Load     admission.Load
-	Pool     upstream.Stats
+	Pool     connpool.Stats
 	Lag      time.Duration
 }
 
 // Gauges returns the numbers of all upstreams in use.
 func (s *Server) Gauges() []Gauges {
 	var out []Gauges
-	s.groups.each(func(id topo.GroupID, g *group) {
-		for up, gt := range g.allGates() {
-			item := Gauges{Upstream: up, Group: id, Load: gt.Load(), Lag: g.lag(up)}
+	s.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
+		for up, gt := range g.AllGates() {
+			item := Gauges{Upstream: up, Group: id, Load: gt.Load(), Lag: g.Lag(up)}
 			if m, ok := s.opts.Upstreams.Lookup(up); ok {
 				item.Pool = m.Stats()
 			}
--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -238,7 +238,7 @@
 	if err == errLeaseEnded {
 		return attempt.Lost
 	}
-	w.c.server.groups.get(w.c.group).noteTail(time.Since(w.slotEnd))
+	w.c.server.groups.Get(w.c.group).NoteTail(time.Since(w.slotEnd))
 	w.err = err
 	return attempt.Delivered
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/session"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/ctlview"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/dbcontrol"
 	"github.com/cicadacove/cicadacove/internal/entry"
@@ -165,7 +166,7 @@
 		return sh.Connections(a.ID)
 	})
 	n.Entry = entry.New(entry.Options{
-		Self: n.opts.ID, Control: agentControl{n.Agent}, Upstreams: upstreams,
+		Self: n.opts.ID, Control: ctlview.FromAgent(n.Agent), Upstreams: upstreams,
 		Client: n.client, Peers: n.peers, Signer: session.NewSigner(n.opts.TokenKey),
 		Users: n.opts.Users, TLS: n.opts.TLS, Limits: n.opts.Limits,
 		Routing: n.opts.Routing, Admission: n.opts.Admission, Shares: sh, Observer: n.observer(),
@@ -176,14 +177,14 @@
 	sec := revision.NewSection()
 	machine := ctlstate.NewMachine(sec)
 	v, err := voter.New(voter.Options{
-		Addr: n.PeerAddr(), Peers: n.opts.Voters, Transport: newTransport(ctx, n.client),
+		Addr: n.PeerAddr(), Peers: n.opts.Voters, Transport: NewTransport(ctx, n.client),
 		Store: n.opts.Store, Machine: machine, Seed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
 		return err
 	}
 	n.Voter = v
-	handleLog(n.peers, v)
+	HandleLog(n.peers, v)
 	configrpc.Serve(n.peers, v, sec)
 	ctl := control.New(control.Options{
 		Log: v, State: machine, Client: n.client, Server: n.peers,
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -30,7 +30,9 @@
 	queues map[string]chan voter.Message
 }
 
-func newTransport(ctx context.Context, client *peer.Client) *transport {
+// NewTransport returns the transport of a voter whose peers are reached by the
+// client. Its goroutines end with ctx.
+func NewTransport(ctx context.Context, client *peer.Client) *transport {
 	return &transport{ctx: ctx, client: client, queues: map[string]chan voter.Message{}}
 }
 
@@ -70,7 +72,8 @@
 	}
 }
 
-func handleLog(s *peer.Server, v *voter.Voter) {
+// HandleLog passes the messages that arrive at the server on to the voter.
+func HandleLog(s *peer.Server, v *voter.Voter) {
 	peer.Handle(s, kindLog, func(_ context.Context, m voter.Message) (struct{}, error) {
 		v.Deliver(m)
 		return struct{}{}, nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,7 +1,7 @@
 // Package upstream holds the connections of an entry instance to databases.
 //
-// The layers stand alone: Conn is one connection, Pool the connections to one
-// upstream under a hard cap, Set the pools of all upstreams, Confirmer the
+// The layers stand alone: Conn is one connection, Pool and Set are those of
+// connpool, Confirmer is the
 // proof that a second database holds a write.
 //
 // A connection belongs to one transaction from its begin to its end. It goes
@@ -21,7 +21,6 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"github.com/cicadacove/cicadacove/internal/core/pool"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
@@ -75,7 +74,6 @@
 // Conn is one connection to an upstream. It is used by one goroutine at a time.
 type Conn struct {
 	target   Target
-	id       pool.ConnID
 	term     topo.Term
 	conn     net.Conn
 	fe       *pgproto3.Frontend
@@ -180,6 +178,9 @@
 	c.conn.Close()
 }
 
+// Abort makes what runs on the connection fail.
+func (c *Conn) Abort() { c.conn.Close() }
+
 // Send writes the messages. answers is how many ReadyForQuery they lead to.
 func (c *Conn) Send(answers int, msgs ...pgproto3.FrontendMessage) error {
 	for _, m := range msgs {
