membership: an upstream is gone once another announces its address

The crashed one stayed usable until its announcement expired, and each switchover from the leaving primary chose it again.

Change: the registry marks the former holder of an address as gone; the successor is one that was heard lately and to which no switchover has failed; after three failed switchovers the primary is replaced like a lost one.

Result: two tests, red before.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -60,27 +60,41 @@
 	if !heard || !primary.Leaving || r.registry.Expired(primary, now) || r.moving[record.ID] {
 		return "", false
 	}
-	var best membership.Known
+	var candidates []membership.Known
 	for _, k := range r.registry.Usable(record.ID, now) {
-		_, accepted := record.Database(k.ID)
-		if accepted && k.ID != record.Primary && (best.ID == "" || k.Point.Compare(best.Point) > 0) {
-			best = k
+		if _, accepted := record.Database(k.ID); accepted && k.ID != record.Primary {
+			candidates = append(candidates, k)
 		}
 	}
-	return best.ID, best.ID != ""
+	return membership.Successor(candidates, r.declined[record.ID], now.Add(-r.c.timing.Fresh))
 }
 
 func (r *reign) replaceLeaving(ctx context.Context, id topo.GroupID, to topo.UpstreamID) {
 	klog.Infof("control: primary of %s is leaving; switching over to %s", id, to)
-	if err := r.c.Switchover(ctx, id, to); err != nil {
+	err := r.c.Switchover(ctx, id, to)
+	if err != nil {
 		klog.Warningf("control: primary of %s is leaving: %v", id, err)
 		sleep(ctx, followRetry)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.moving, id)
+	if err == nil {
+		delete(r.declined, id)
+		return
+	}
+	r.declined[id] = append(r.declined[id], to)
+	if len(r.declined[id]) >= maxSwitchovers && r.drivers[id] == nil && r.group != nil {
+		klog.Warningf("control: primary of %s is leaving and no switchover succeeds; failing over", id)
+		delete(r.declined, id)
+		r.start(r.ctx, r.group, id, failover.Suspect{})
+	}
 }
 
+// maxSwitchovers is how many planned switchovers from a leaving primary are
+// tried before it is replaced like a lost one.
+const maxSwitchovers = 3
+
 // start runs a driver for the group's failover. It needs the lock.
 func (r *reign) start(ctx context.Context, g *errgroup.Group, id topo.GroupID, first failover.Event) *driver {
 	if _, resumed := first.(failover.Resume); !resumed {
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -52,6 +52,8 @@
 	inherited map[topo.GroupID]bool
 	// moving are the groups whose leaving primary is being replaced.
 	moving map[topo.GroupID]bool
+	// declined are the databases to which such a replacement failed.
+	declined map[topo.GroupID][]topo.UpstreamID
 	// drainChanged is closed when a lease was given back.
 	drainChanged chan struct{}
 	// wake asks for a tick at once.
@@ -77,6 +79,7 @@
 		followers:    map[followKey]followed{},
 		leaving:      map[followKey]bool{},
 		moving:       map[topo.GroupID]bool{},
+		declined:     map[topo.GroupID][]topo.UpstreamID{},
 		drainChanged: make(chan struct{}),
 		wake:         make(chan struct{}, 1),
 	}
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -89,16 +89,45 @@
 	if known && a.Addr != old.Addr && a.Incarnation <= old.Incarnation {
 		return RefusedAddress
 	}
+	if r.addressTaken(a) {
+		return RefusedAddress
+	}
 	if known && !a.Newer(old.Announcement) {
 		return Stale
 	}
 	group[a.ID] = Known{a, heardAt}
+	r.retireFormer(a)
 	if !known || r.Expired(old, heardAt) || differs(old.Announcement, a) {
 		return Updated
 	}
 	return Renewed
 }
 
+// addressTaken reports whether another upstream that started later announced
+// itself at the same address: the announcement was held up on its way.
+func (r *Registry) addressTaken(a topo.Announcement) bool {
+	for _, group := range r.groups {
+		for _, k := range group {
+			if k.ID != a.ID && k.Addr == a.Addr && !k.Gone && k.Incarnation > a.Incarnation {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// retireFormer marks the upstreams as gone whose address has passed to a.
+func (r *Registry) retireFormer(a topo.Announcement) {
+	for _, group := range r.groups {
+		for id, k := range group {
+			if id != a.ID && k.Addr == a.Addr && !k.Gone && k.Incarnation < a.Incarnation {
+				k.Leaving, k.Gone = true, true
+				group[id] = k
+			}
+		}
+	}
+}
+
 // Refresh takes in that an upstream announced again, at heardAt, what was
 // known of that incarnation. It reports whether that is known here too and the
 // refresh is newer.
--- /dev/null
+++ b/internal/core/membership/successor_test.go
@@ -0,0 +1,47 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// Found by a hunt on selam-hq (hunt-a634-19): an upstream that had crashed was
+// named as the successor of a leaving primary again and again, since another
+// one had taken its address and only its own silence counted.
+func TestUpstreamIsGoneOnceAnotherAnnouncesItsAddress(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := NewRegistry(time.Minute)
+	old := topo.Announcement{Group: "g", ID: "old", Addr: "10.0.0.1:1", Role: topo.RoleReplica, Incarnation: 100, Seq: 1}
+	next := topo.Announcement{Group: "g", ID: "next", Addr: "10.0.0.1:1", Role: topo.RoleReplica, Incarnation: 200, Seq: 1}
+	require.Equal(t, Updated, r.Hear(old, start))
+	require.Equal(t, Updated, r.Hear(next, start.Add(time.Second)))
+	usable := r.Usable("g", start.Add(2*time.Second))
+	require.Len(t, usable, 1)
+	require.Equal(t, topo.UpstreamID("next"), usable[0].ID)
+	k, _ := r.Get("g", "old")
+	require.True(t, k.Gone)
+	late := old
+	late.Seq = 2
+	require.Equal(t, RefusedAddress, r.Hear(late, start.Add(2*time.Second)), "an announcement that was held up does not bring it back")
+}
+
+func TestSuccessorIsFreshAndNotDeclined(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
+	known := func(id string, heard int, position topo.Position) Known {
+		return Known{topo.Announcement{ID: topo.UpstreamID(id), Point: topo.Point{Position: position}}, at(heard)}
+	}
+	silent, fresh, ahead := known("silent", 0, 9), known("fresh", 10, 1), known("ahead", 10, 2)
+	id, ok := Successor([]Known{silent, fresh, ahead}, nil, at(8))
+	require.True(t, ok)
+	require.Equal(t, topo.UpstreamID("ahead"), id)
+	id, _ = Successor([]Known{silent, fresh, ahead}, []topo.UpstreamID{"ahead"}, at(8))
+	require.Equal(t, topo.UpstreamID("fresh"), id)
+	id, _ = Successor([]Known{silent, ahead}, []topo.UpstreamID{"ahead"}, at(8))
+	require.Equal(t, topo.UpstreamID("silent"), id)
+	_, ok = Successor(nil, nil, at(8))
+	require.False(t, ok)
+}
--- a/internal/ctlwire/timing.go
+++ b/internal/ctlwire/timing.go
@@ -35,6 +35,9 @@
 	Minority time.Duration
 	// Announced is how long an announcement of an upstream is good for.
 	Announced time.Duration
+	// Fresh is how long ago an upstream may have announced itself to be
+	// preferred as the next primary.
+	Fresh time.Duration
 	// Tick is the interval at which the leader looks for work.
 	Tick time.Duration
 	// Promote is how long the leader tries to promote the chosen database.
@@ -61,6 +64,7 @@
 	DefaultSilence       = 600 * time.Millisecond
 	DefaultMinority      = 5 * time.Second
 	DefaultAnnounced     = 2 * time.Second
+	DefaultFresh         = time.Second
 	DefaultTick          = 25 * time.Millisecond
 	DefaultPromote       = 600 * time.Millisecond
 	DefaultCatchUp       = 500 * time.Millisecond
@@ -73,7 +77,7 @@
 	for field, value := range map[*time.Duration]time.Duration{
 		&t.Lease: DefaultLease, &t.Margin: DefaultMargin, &t.Renew: DefaultRenew, &t.Call: DefaultCall,
 		&t.Probe: DefaultProbe, &t.ProbeTimeout: DefaultProbeTimeout, &t.Silence: DefaultSilence,
-		&t.Minority: DefaultMinority, &t.Announced: DefaultAnnounced, &t.Tick: DefaultTick, &t.Promote: DefaultPromote,
+		&t.Minority: DefaultMinority, &t.Announced: DefaultAnnounced, &t.Tick: DefaultTick, &t.Fresh: DefaultFresh, &t.Promote: DefaultPromote,
 		&t.CatchUp: DefaultCatchUp, &t.Remove: DefaultRemove, &t.FencePatience: DefaultFencePatience,
 	} {
 		if *field == 0 {
