restart: quick elections and renewals; upstreams from the log; isolation; connections kept free

Cause: after a power loss of all machines callers were refused for 2 s: dials to machines without power hung for a second, the first campaign waited a whole election timeout, renewals backed off to 0.6 s, upstreams were known only once they announced themselves, and databases still counted the old connections. Callers of a zone that was cut off stayed with it.

Change: each of these. core/isolation decides whether an instance is cut off or control is down for all; callers of one that is cut off are moved.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,6 +48,9 @@
 	// Config takes in updates of the configuration; nil keeps the contracts,
 	// which Agent.Config returns.
 	Config ConfigSink
+	// UseUnheard offers databases that the control log knows also before they
+	// have announced themselves to this run.
+	UseUnheard bool
 	// Now is the clock that leases and ages count by; nil means clock.Now.
 	Now func() time.Time
 	// KeepUntilExpiry makes the agent refuse requests to give back a lease
@@ -70,6 +73,8 @@
 	Term        topo.Term
 	Primary     topo.UpstreamID
 	PrimaryAddr string
+	// PrimarySlots is what the control log knows, zero if nothing.
+	PrimarySlots int
 }
 
 // Upstream is a database that may get new work.
@@ -85,18 +90,23 @@
 	opts   Options
 	timing Timing
 	now    func() time.Time
-	db     dbapi.Prober
-
-	mu       sync.Mutex
-	chart    *statechart.Chart
-	state    string
-	holder   *lease.Holder
-	guards   guards
-	known    *ctlstate.Replica
-	registry *membership.Registry
-	tracker  *upstreamTracker
-	voters   []string
-	config   ConfigSink
+	// startedAt is when this run began.
+	startedAt time.Time
+	db        dbapi.Prober
+
+	mu     sync.Mutex
+	chart  *statechart.Chart
+	state  string
+	holder *lease.Holder
+	guards guards
+	// renewedAt is when the latest renewal was answered; cutOffSince is zero
+	// unless this instance is cut off.
+	renewedAt, cutOffSince time.Time
+	known                  *ctlstate.Replica
+	registry               *membership.Registry
+	tracker                *upstreamTracker
+	voters                 []string
+	config                 ConfigSink
 	// contracts is the default of config.
 	contracts *contracts
 	changed   chan struct{}
@@ -127,6 +137,7 @@
 		opts:      opts,
 		timing:    timing,
 		now:       opts.Now,
+		startedAt: opts.Now(),
 		db:        opts.Databases,
 		chart:     loadLeaseChart(charts.Read("lease.toml")),
 		holder:    lease.NewHolder(timing.Terms()),
@@ -160,6 +171,7 @@
 	g.Go(func() error { return a.probeLoop(ctx) })
 	g.Go(func() error { return a.evidenceLoop(ctx) })
 	g.Go(func() error { return a.spreadLoop(ctx) })
+	g.Go(func() error { return a.isolationLoop(ctx) })
 	klog.Infof("agent: %s/%d running", a.opts.Self.ID, a.opts.Self.Incarnation)
 	return g.Wait()
 }
@@ -173,7 +185,8 @@
 	if !ok || !a.covers(r) {
 		return Authority{}, false
 	}
-	return Authority{Term: r.Term, Primary: r.Primary, PrimaryAddr: a.addrOf(r, r.Primary)}, true
+	d, _ := r.Database(r.Primary)
+	return Authority{Term: r.Term, Primary: r.Primary, PrimaryAddr: a.addrOf(r, r.Primary), PrimarySlots: d.Slots}, true
 }
 
 // covers needs the lock.
@@ -247,6 +260,22 @@
 			list = append(list, Upstream{k.Announcement, k.HeardAt})
 		}
 	}
+	return append(list, a.unheard(r)...)
+}
+
+// unheard returns the databases that the log knows and this process has not
+// heard of yet: after a restart of all instances the announcements come in
+// one by one. It needs the lock.
+func (a *Agent) unheard(r *ctlstate.GroupRecord) []Upstream {
+	if !a.opts.UseUnheard || a.now().Sub(a.startedAt) > a.timing.Announced {
+		return nil
+	}
+	var list []Upstream
+	for _, d := range r.Databases {
+		if _, heard := a.registry.Get(r.ID, d.ID); !heard && !d.Retiring {
+			list = append(list, Upstream{Announcement: d.Announcement(r.ID)})
+		}
+	}
 	return list
 }
 
@@ -319,3 +348,11 @@
 	defer a.mu.Unlock()
 	return a.holder.Valid(a.now())
 }
+
+// Registered reports whether the instance is registered with the control log:
+// it has had a lease, and has not given it up.
+func (a *Agent) Registered() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.renewedAt.IsZero() && a.state != stateLeft
+}
--- a/internal/agent/handlers.go
+++ b/internal/agent/handlers.go
@@ -22,6 +22,7 @@
 	peer.Handle(s, ctlwire.KindPublish, a.onPublish)
 	peer.Handle(s, ctlwire.KindAnnounce, a.onAnnounce)
 	peer.Handle(s, ctlwire.KindUpstreams, a.onUpstreams)
+	peer.Handle(s, ctlwire.KindStanding, a.onStanding)
 }
 
 // onGiveBack ends the lease on a group's terms. It answers when no
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -34,6 +34,10 @@
 // further failure, up to the interval between renewals.
 const firstRetry = 50 * time.Millisecond
 
+// unleasedRetry is the longest pause after a failed renewal of an instance
+// without a lease.
+const unleasedRetry = 100 * time.Millisecond
+
 // expiryCheck is the interval at which the ends of the lease and of
 // announcements are looked for, to tell those who wait on Changed.
 const expiryCheck = 50 * time.Millisecond
@@ -75,7 +79,7 @@
 		if err := a.exchange(ctx); err != nil {
 			klog.V(2).Infof("agent: %s: %v", a.opts.Self.ID, err)
 			pause = jitter(retry)
-			retry = min(2*retry, a.timing.Renew)
+			retry = min(2*retry, a.longestRetry())
 		} else {
 			retry = firstRetry
 		}
@@ -85,6 +89,15 @@
 	}
 }
 
+// longestRetry bounds the pause between failed renewals: without a lease the
+// instance serves nobody, so it asks more often.
+func (a *Agent) longestRetry() time.Duration {
+	if a.HasLease() {
+		return a.timing.Renew
+	}
+	return unleasedRetry
+}
+
 // jitter spreads the retries of many instances over time.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
@@ -146,6 +159,7 @@
 	before := membership.ConfirmedEpoch(a.known.Epochs)
 	news := a.known.Apply(renewed.Delta, true)
 	a.holder.Renew(sentAt)
+	a.renewedAt = a.now()
 	a.step(eventGranted)
 	var err error
 	if len(renewed.Config) > 0 {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -157,8 +157,10 @@
 	p.do(func() []pool.Action { return p.core.Warm(n, term) })
 }
 
-// Reap closes connections that have been idle for long.
-func (p *Pool[C]) Reap(now time.Time) { p.do(func() []pool.Action { return p.core.Reap(now) }) }
+// Reap closes connections that have been idle for longer than limit.
+func (p *Pool[C]) Reap(now time.Time, limit time.Duration) {
+	p.do(func() []pool.Action { return p.core.Reap(now, limit) })
+}
 
 // Close closes idle connections and refuses new work. Connections in use are
 // closed as they come back.
--- a/internal/control/databases.go
+++ b/internal/control/databases.go
@@ -49,7 +49,7 @@
 	}
 	add := &ctlstate.AddDatabase{
 		Group:    k.Group,
-		Database: ctlstate.Database{ID: k.ID, Addr: k.Addr, Zone: k.Zone},
+		Database: ctlstate.Database{ID: k.ID, Addr: k.Addr, Zone: k.Zone, Slots: k.Slots},
 	}
 	record, known := r.c.opts.State.Group(k.Group)
 	if !known {
--- a/internal/core/ctlstate/state.go
+++ b/internal/core/ctlstate/state.go
@@ -37,6 +37,8 @@
 	ID   topo.UpstreamID `msgpack:"id"`
 	Addr string          `msgpack:"a"`
 	Zone topo.Zone       `msgpack:"z"`
+	// Slots is how many statements the database runs at once.
+	Slots int `msgpack:"s,omitempty"`
 	// Retiring says that the database is to be removed: it still counts for
 	// the quorum, but no longer for the durability of a write.
 	Retiring bool `msgpack:"r,omitempty"`
@@ -56,6 +58,12 @@
 	Start topo.Position `msgpack:"s"`
 }
 
+// Announcement is what the log knows of a database whose own announcement has
+// not been heard yet.
+func (d Database) Announcement(g topo.GroupID) topo.Announcement {
+	return topo.Announcement{Group: g, ID: d.ID, Addr: d.Addr, Zone: d.Zone, Role: topo.RoleReplica, Slots: d.Slots}
+}
+
 // GroupRecord is the replicated state of one database group.
 type GroupRecord struct {
 	topo.Group `msgpack:"g"`
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -17,7 +17,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
-// IdleLimit is how long a connection may lie idle before it is closed.
+// IdleLimit is how long a connection may usually lie idle before it is closed.
 const IdleLimit = 60 * time.Second
 
 // ConnID numbers a connection, WaiterID a request that waits for one. The
@@ -185,10 +185,10 @@
 	return actions
 }
 
-// Reap closes connections that have been idle for long.
-func (p *Pool) Reap(now time.Time) []Action {
+// Reap closes connections that have been idle for longer than limit.
+func (p *Pool) Reap(now time.Time, limit time.Duration) []Action {
 	var actions []Action
-	for len(p.idle) > 0 && now.Sub(p.conns[p.idle[0]].idleSince) > IdleLimit {
+	for len(p.idle) > 0 && now.Sub(p.conns[p.idle[0]].idleSince) > limit {
 		actions = append(actions, p.dropOldest())
 	}
 	return actions
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -125,7 +125,7 @@
 				m.perform(m.p.SetLimit(m.limit))
 			case 9:
 				m.now = m.now.Add(IdleLimit)
-				m.perform(m.p.Reap(m.now))
+				m.perform(m.p.Reap(m.now, IdleLimit))
 				m.perform(m.p.Warm(1, 0))
 			}
 			m.check()
--- a/internal/core/replog/node.go
+++ b/internal/core/replog/node.go
@@ -105,9 +105,19 @@
 	n.synced = n.hard
 	n.restartElectionTimer()
 	n.followMembership()
+	if n.hasMembers() {
+		n.hastenFirstElection()
+	}
 	return n
 }
 
+// hastenFirstElection lets a node that has started ask the others soon: all
+// may have restarted together. The pre-vote keeps a running leader.
+func (n *Node) hastenFirstElection() {
+	spread := n.cfg.ElectionTimeout / 5
+	n.electionDeadline = n.now.Add(spread/2 + time.Duration(n.rand.Int64N(int64(spread))))
+}
+
 func hash(s string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(s))
--- a/internal/ctlview/agent.go
+++ b/internal/ctlview/agent.go
@@ -22,7 +22,7 @@
 			return Authority{Term: a.Term, Primary: u.Announcement}, true
 		}
 	}
-	primary := topo.Announcement{ID: a.Primary, Group: g, Addr: a.PrimaryAddr, Role: topo.RolePrimary}
+	primary := topo.Announcement{ID: a.Primary, Group: g, Addr: a.PrimaryAddr, Slots: a.PrimarySlots, Role: topo.RolePrimary}
 	return Authority{Term: a.Term, Primary: primary}, true
 }
 
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -25,6 +25,7 @@
 	KindPublish   = "agent.publish"
 	KindAnnounce  = "agent.announce"
 	KindUpstreams = "agent.upstreams"
+	KindStanding  = "agent.standing"
 )
 
 // Status is how a controller took a request.
@@ -153,6 +154,12 @@
 	Confirmed uint64             `msgpack:"c"`
 }
 
+// Standing tells how an instance's lease stands.
+type Standing struct {
+	Leased     bool          `msgpack:"l"`
+	RenewedAgo time.Duration `msgpack:"r"`
+}
+
 // Empty is a request or an answer without content.
 type Empty struct{}
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,6 +14,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
+	"github.com/cicadacove/cicadacove/internal/core/pool"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlview"
 	"github.com/cicadacove/cicadacove/internal/groupstate"
@@ -71,7 +72,7 @@
 			limit = g.Connections
 		}
 	}
-	return max(limit/max(e.opts.Instances(), 1), 1)
+	return pool.Share(limit, a.Slots, e.opts.Instances())
 }
 
 // Open starts a session on a database name. The outcome tells why there is
@@ -94,6 +95,10 @@
 const (
 	// tendEvery is the interval at which pools and positions are looked after.
 	tendEvery = 100 * time.Millisecond
+	// idleLink is how long a connection may lie idle. An upstream counts the
+	// connections of an instance that lost power for some seconds more; the
+	// instance needs room for new ones meanwhile.
+	idleLink = 2 * time.Second
 	// askTimeout bounds a question for the primary's position.
 	askTimeout = 500 * time.Millisecond
 	// sampleAt is the part of the tolerated age after which the primary's
@@ -117,7 +122,7 @@
 }
 
 func (e *Engine[C]) tend(ctx context.Context) {
-	e.pools.Each(func(_ topo.UpstreamID, m *connpool.Member[*link[C]]) { m.Reap(time.Now()) })
+	e.pools.Each(func(_ topo.UpstreamID, m *connpool.Member[*link[C]]) { m.Reap(time.Now(), idleLink) })
 	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
 		if !g.StartSampleAfter(sampleAt, clock.Now()) {
 			return
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -45,6 +45,9 @@
 	for attempt := 1; attempt <= maxReadAttempts && ctx.Err() == nil; attempt++ {
 		s.told.Attempts = attempt
 		at, o, ok := s.place(w, avoid)
+		if !ok && attempt > 1 {
+			return refused(last) // tells why the upstreams that were tried failed
+		}
 		if !ok {
 			return refused(o)
 		}
--- a/internal/entry/housekeeping.go
+++ b/internal/entry/housekeeping.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/core/pool"
 	"github.com/cicadacove/cicadacove/internal/core/requestid"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/groupstate"
@@ -72,7 +73,7 @@
 func (s *Server) tendPools() {
 	now := time.Now()
 	s.opts.Upstreams.Each(func(id topo.UpstreamID, m *upstream.Member) {
-		m.Reap(now)
+		m.Reap(now, pool.IdleLimit)
 		s.closeExcess(id, m)
 	})
 	s.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -83,6 +83,7 @@
 			tracker: routing.NewTracker(),
 			gates:   map[topo.UpstreamID]*gate.Gate{},
 			answer:  map[topo.UpstreamID]time.Duration{},
+			slots:   map[topo.UpstreamID]int{},
 		}
 		gs.groups[id] = g
 	}
@@ -111,6 +112,8 @@
 	tracker *routing.Tracker
 	gates   map[topo.UpstreamID]*gate.Gate
 	answer  map[topo.UpstreamID]time.Duration
+	// slots is what each upstream has announced, zero before it has.
+	slots map[topo.UpstreamID]int
 	// lastUse is the time of the last request, lastRead and leastAge
 	// describe the reads that tolerate an age.
 	lastUse  time.Time
@@ -207,7 +210,12 @@
 		})
 		g.gates[a.ID] = gt
 	}
+	announced := ok && a.Slots > 0 && g.slots[a.ID] != a.Slots
+	g.slots[a.ID] = max(a.Slots, g.slots[a.ID])
 	g.mu.Unlock()
+	if announced && g.set.shares.Slots(a.ID) == 0 {
+		gt.SetSlots(a.Slots)
+	}
 	if !ok {
 		g.set.noteGate(a.ID, gt)
 		g.set.shares.Use(a)
