pool: requests wait for existing connections when the upstream has too many

Cause: after a power loss databases count the dead connections for 3 s and refuse new ones; each refusal failed a request although connections existed.

Change: core/pool keeps the waiters and tries again after 200 ms.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -162,6 +162,10 @@
 	p.do(func() []pool.Action { return p.core.Reap(now, limit) })
 }
 
+// Retry opens connections again where an upstream that had too many may have
+// room. It is to be called several times a second.
+func (p *Pool[C]) Retry(now time.Time) { p.do(func() []pool.Action { return p.core.Retry(now) }) }
+
 // Close closes idle connections and refuses new work. Connections in use are
 // closed as they come back.
 func (p *Pool[C]) Close() {
@@ -209,6 +213,22 @@
 	delete(p.waits, id)
 }
 
+// TooManyError is implemented by errors of an OpenFunc that tell whether the
+// upstream refused the connection because it has too many.
+type TooManyError interface {
+	error
+	TooMany() bool
+}
+
+// openFailed needs the lock.
+func (p *Pool[C]) openFailed(err error, term topo.Term) []pool.Action {
+	var refused TooManyError
+	if errors.As(err, &refused) && refused.TooMany() {
+		return p.core.OpenRefused(term, time.Now())
+	}
+	return p.core.OpenFailed(term)
+}
+
 func (p *Pool[C]) openOne(term topo.Term) {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
@@ -217,7 +237,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.lastErr = err
-		p.perform(p.core.OpenFailed(term))
+		p.perform(p.openFailed(err, term))
 		return
 	}
 	p.nextID++
--- /dev/null
+++ b/internal/core/pool/full_test.go
@@ -0,0 +1,33 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An upstream that still counts the connections of an instance without power
+// refuses new ones; requests then wait for those that exist.
+func TestWaiterSurvivesARefusalWhileConnectionsExist(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(3)
+	actions, _ := p.Acquire(1, 0)
+	require.Equal(t, []Action{Open{}}, actions)
+	require.Equal(t, []Action{Give{1, 7}}, p.Opened(7, 0, now))
+	actions, _ = p.Acquire(2, 0)
+	require.Equal(t, []Action{Open{}}, actions)
+	require.Empty(t, p.OpenRefused(0, now), "the waiter goes on waiting")
+	actions, _ = p.Acquire(3, 0)
+	require.Empty(t, actions, "no further connection is asked for")
+	require.Equal(t, []Action{Give{2, 7}}, p.Release(7, true, now))
+	require.Empty(t, p.Retry(now.Add(fullFor-1)))
+	require.Equal(t, []Action{Open{}}, p.Retry(now.Add(fullFor)))
+}
+
+func TestWaiterFailsWhereNoConnectionExists(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(3)
+	p.Acquire(1, 0)
+	require.Equal(t, []Action{Fail{1}}, p.OpenRefused(0, now))
+}
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -86,6 +86,10 @@
 	opening int
 	waiters []waiter
 	closed  bool
+	// full says that the upstream refused a connection because it has too
+	// many. Until fullUntil no further one is opened.
+	full      bool
+	fullUntil time.Time
 }
 
 // New returns a pool without connections.
@@ -153,6 +157,31 @@
 	return append(actions, p.openForWaiters()...)
 }
 
+// fullFor is how long no connection is opened after the upstream has refused
+// one because it has too many.
+const fullFor = 200 * time.Millisecond
+
+// OpenRefused records that the upstream has too many connections. The waiters
+// go on waiting for those that exist; without any, one waiter fails.
+func (p *Pool) OpenRefused(term topo.Term, now time.Time) []Action {
+	p.full, p.fullUntil = true, now.Add(fullFor)
+	if p.open() > 1 {
+		p.opening--
+		return nil
+	}
+	return p.OpenFailed(term)
+}
+
+// Retry opens connections for waiters again once an upstream that had too many
+// may have room.
+func (p *Pool) Retry(now time.Time) []Action {
+	if !p.full || now.Before(p.fullUntil) {
+		return nil
+	}
+	p.full = false
+	return p.openForWaiters()
+}
+
 // Release takes a connection back. One that is not clean is closed.
 func (p *Pool) Release(id ConnID, clean bool, now time.Time) []Action {
 	var actions []Action
@@ -273,7 +302,7 @@
 // for. A waiter takes whichever comes first, a new connection or a released one.
 func (p *Pool) openForWaiters() []Action {
 	var actions []Action
-	for p.opening < len(p.waiters) && p.open() < p.limit && !p.closed {
+	for p.opening < len(p.waiters) && p.open() < p.limit && !p.closed && !p.full {
 		actions = append(actions, p.startOpen(p.waiters[p.opening].term))
 	}
 	return actions
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -122,7 +122,10 @@
 }
 
 func (e *Engine[C]) tend(ctx context.Context) {
-	e.pools.Each(func(_ topo.UpstreamID, m *connpool.Member[*link[C]]) { m.Reap(time.Now(), idleLink) })
+	e.pools.Each(func(_ topo.UpstreamID, m *connpool.Member[*link[C]]) {
+		m.Reap(time.Now(), idleLink)
+		m.Retry(time.Now())
+	})
 	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
 		if !g.StartSampleAfter(sampleAt, clock.Now()) {
 			return
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -147,6 +147,9 @@
 	Detail   string
 }
 
+// TooMany implements connpool.TooManyError.
+func (e *RefusedError) TooMany() bool { return e.Code == CodeTooMany }
+
 // Error names the upstream.
 func (e *RefusedError) Error() string {
 	return "upstream " + string(e.Upstream) + " refused the connection: " + string(e.Code) + " " + e.Detail
--- a/internal/entry/housekeeping.go
+++ b/internal/entry/housekeeping.go
@@ -74,6 +74,7 @@
 	now := time.Now()
 	s.opts.Upstreams.Each(func(id topo.UpstreamID, m *upstream.Member) {
 		m.Reap(now, pool.IdleLimit)
+		m.Retry(now)
 		s.closeExcess(id, m)
 	})
 	s.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -68,6 +68,9 @@
 	return fmt.Sprintf("upstream %s: connect: %v", e.Upstream, e.Err)
 }
 
+// TooMany implements connpool.TooManyError.
+func (e *ConnectError) TooMany() bool { return e.Code == CodeTooManyConns }
+
 // Unwrap returns the cause.
 func (e *ConnectError) Unwrap() error { return e.Err }
 
