--- a/internal/core/routing/place.go
+++ b/internal/core/routing/place.go
@@ -22,22 +22,31 @@
 	Detour time.Duration
 }
 
-// minLag is assumed of an upstream that is not known to cover the point.
+// minLag is the least lag that is assumed of an upstream which is not known to
+// cover the point.
 const minLag = 10 * time.Millisecond
 
-func (o Offer) cost(required topo.Point) time.Duration {
+// Requirement is the point that a read must see.
+type Requirement struct {
+	Point topo.Point
+	// Age is how long ago the primary had reached it at least: an upstream
+	// that usually lags less is expected to hold it by now.
+	Age time.Duration
+}
+
+func (o Offer) cost(r Requirement) time.Duration {
 	c := o.Answer + o.QueueWait + o.Detour
-	if !topo.Covers(o.Point, required) {
-		c += max(o.Lag, minLag)
+	if !topo.Covers(o.Point, r.Point) {
+		c += max(max(o.Lag, minLag)-r.Age, 0)
 	}
 	return c
 }
 
 // Place returns the offer from which the answer is expected first. Of equal
 // ones the first wins. ok is false without an offer.
-func Place(required topo.Point, offers []Offer) (best Offer, ok bool) {
+func Place(r Requirement, offers []Offer) (best Offer, ok bool) {
 	for _, o := range offers {
-		if !ok || o.cost(required) < best.cost(required) {
+		if !ok || o.cost(r) < best.cost(r) {
 			best, ok = o, true
 		}
 	}
--- a/internal/core/routing/place_test.go
+++ b/internal/core/routing/place_test.go
@@ -11,7 +11,7 @@
 
 func TestPlaceWeighsWaitLagAndDetour(t *testing.T) {
 	const ms = time.Millisecond
-	required := topo.Point{Term: 3, Position: 100}
+	required := Requirement{Point: topo.Point{Term: 3, Position: 100}, Age: 10 * time.Millisecond}
 	behind, ahead := topo.Point{Term: 3, Position: 90}, topo.Point{Term: 3, Position: 101}
 	cases := []struct {
 		name   string
@@ -24,6 +24,9 @@
 		{"a long queue outweighs the way", []Offer{
 			{ID: "far", Point: ahead, Answer: 20 * ms, Detour: 5 * ms}, {ID: "near", Point: ahead, Answer: 20 * ms, QueueWait: 30 * ms},
 		}, "far"},
+		{"a replica that usually lags less than the requirement is old counts as caught up", []Offer{
+			{ID: "primary", Point: ahead, Answer: 20 * ms, Detour: 5 * ms}, {ID: "near", Point: behind, Lag: 8 * ms, Answer: 20 * ms},
+		}, "near"},
 		{"a replica that has to catch up costs its lag", []Offer{
 			{ID: "late", Point: behind, Lag: 50 * ms, Answer: 20 * ms}, {ID: "primary", Point: ahead, Answer: 40 * ms},
 		}, "primary"},
@@ -35,6 +38,6 @@
 			require.Equal(t, c.want, best.ID)
 		})
 	}
-	_, ok := Place(required, nil)
+	_, ok := Place(Requirement{}, nil)
 	require.False(t, ok)
 }
--- a/internal/core/routing/tracker.go
+++ b/internal/core/routing/tracker.go
@@ -93,13 +93,19 @@
 // PointWithin returns the point that data no older than maxAge must cover. ok
 // is false when the primary's position is not known for that time.
 func (t *Tracker) PointWithin(maxAge time.Duration, now time.Time) (point topo.Point, ok bool) {
+	r, ok := t.RequirementWithin(maxAge, now)
+	return r.Point, ok
+}
+
+// RequirementWithin is PointWithin with the age of the point.
+func (t *Tracker) RequirementWithin(maxAge time.Duration, now time.Time) (r Requirement, ok bool) {
 	oldest := now.Add(-maxAge)
 	for _, s := range t.samples {
 		if !s.sentAt.Before(oldest) {
-			return s.point, true
+			return Requirement{s.point, now.Sub(s.sentAt)}, true
 		}
 	}
-	return topo.Point{}, false
+	return Requirement{}, false
 }
 
 // LastSample returns when the newest sample of the primary was asked for.
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -178,15 +178,13 @@
 	now := clock.Now()
 	g.NoteRead(w.route.Service.MaxAge, now)
 	state, _ := ctl.Group(group)
-	required, known := g.PointWithin(w.route.Service.MaxAge, now)
+	required, known := g.RequirementWithin(w.route.Service.MaxAge, now)
 	if !known {
 		return primarySeat(auth, leads && !avoid[auth.Primary.ID])
 	}
-	required = state.Clamp(required)
-	if own := s.last[group]; w.route.Consistency == catalog.OwnWrites {
-		if own = state.Clamp(own); own.Compare(required) > 0 {
-			required = own
-		}
+	required.Point = state.Clamp(required.Point)
+	if w.route.Consistency == catalog.OwnWrites {
+		required = s.withOwnCommits(required, state, now)
 	}
 	var offers []routing.Offer
 	upstreams := map[topo.UpstreamID]topo.Announcement{}
@@ -201,7 +199,20 @@
 	if !ok {
 		return seat{}, outcome.Refused(outcome.CodeNoUpstream, "no upstream can serve the read now"), false
 	}
-	return seat{upstream: upstreams[best.ID], required: required}, outcome.Outcome{}, true
+	return seat{upstream: upstreams[best.ID], required: required.Point}, outcome.Outcome{}, true
+}
+
+// withOwnCommits raises the requirement to the session's latest commit that
+// was not lost in a failover.
+func (s *Session[C]) withOwnCommits(r routing.Requirement, state topo.Group, now time.Time) routing.Requirement {
+	own, ok := s.last[state.ID]
+	if !ok {
+		return r
+	}
+	if p := state.Clamp(own.point); p.Compare(r.Point) > 0 {
+		return routing.Requirement{Point: p, Age: now.Sub(own.at)}
+	}
+	return r
 }
 
 func (s *Session[C]) offer(w work, a topo.Announcement) routing.Offer {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -20,7 +21,7 @@
 	values   map[string]string
 	prepared map[string]Definition
 	// last has for each group the point of the session's latest commit.
-	last map[topo.GroupID]topo.Point
+	last map[topo.GroupID]commitPoint
 	// tx is the open transaction, nil without one. failed says that it was
 	// rolled back and the caller has not ended it yet.
 	tx     *transaction[C]
@@ -29,10 +30,16 @@
 	told Ended
 }
 
+// commitPoint is the point of a commit and when it was known.
+type commitPoint struct {
+	point topo.Point
+	at    time.Time
+}
+
 func newSession[C Conn](e *Engine[C], database string) *Session[C] {
 	return &Session[C]{
 		engine: e, database: database, name: strconv.FormatUint(e.callerName(), 10),
-		values: map[string]string{}, prepared: map[string]Definition{}, last: map[topo.GroupID]topo.Point{},
+		values: map[string]string{}, prepared: map[string]Definition{}, last: map[topo.GroupID]commitPoint{},
 	}
 }
 
@@ -202,8 +209,8 @@
 
 // committed records the point of the session's latest commit.
 func (s *Session[C]) committed(g topo.GroupID, p topo.Point) {
-	if p.Compare(s.last[g]) > 0 {
-		s.last[g] = p
+	if p.Compare(s.last[g].point) > 0 {
+		s.last[g] = commitPoint{p, clock.Now()}
 	}
 }
 
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -240,12 +240,12 @@
 	return g.tracker.Lag(id)
 }
 
-// PointWithin returns the point that data no older than maxAge must cover. ok
-// is false when the primary's position is not known for that time.
-func (g *Group) PointWithin(maxAge time.Duration, now time.Time) (p topo.Point, ok bool) {
+// RequirementWithin returns what data no older than maxAge must cover. ok is
+// false when the primary's position is not known for that time.
+func (g *Group) RequirementWithin(maxAge time.Duration, now time.Time) (r routing.Requirement, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.tracker.PointWithin(maxAge, now)
+	return g.tracker.RequirementWithin(maxAge, now)
 }
 
 // ObservePrimary records the primary's point, from an answer whose request was
