--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,6 +48,8 @@
 	// Config takes in updates of the configuration; nil keeps the contracts,
 	// which Agent.Config returns.
 	Config ConfigSink
+	// Sessions returns how many callers the instance serves; nil tells nobody.
+	Sessions func() int
 	// UseUnheard offers databases that the control log knows also before they
 	// have announced themselves to this run.
 	UseUnheard bool
@@ -113,6 +115,12 @@
 	// leader is the peer address of the controller that leads, empty when it
 	// is unknown; hint is where a voter believes it to be.
 	leader, hint string
+	// share is the instance's part of what instances share, zero if unknown.
+	share float64
+	// relayAddr is the voter that passes requests on to a leader that can't be
+	// reached, since relaySince; empty while the leader answers.
+	relayAddr  string
+	relaySince time.Time
 
 	evidence *spread.Outbox[sightingKey, bool]
 	told     map[sightingKey]toldSighting
@@ -321,6 +329,16 @@
 	return slices.Clone(a.voters)
 }
 
+// Share returns this instance's part of what instances share, from 0 to 1.
+func (a *Agent) Share() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.share > 0 {
+		return a.share
+	}
+	return 1 / float64(max(len(a.known.Live()), 1))
+}
+
 // Members returns the entry instances that are known to be live.
 func (a *Agent) Members() []ctlstate.Member {
 	a.mu.Lock()
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -140,6 +140,9 @@
 		Confirmed: membership.ConfirmedEpoch(a.known.Epochs),
 	}
 	a.mu.Unlock()
+	if a.opts.Sessions != nil {
+		request.Sessions = a.opts.Sessions()
+	}
 	sentAt := a.now()
 	renewed, err := call[ctlwire.Renewed](ctx, a, ctlwire.KindRenew, request)
 	if err != nil {
@@ -165,6 +168,7 @@
 	if len(renewed.Config) > 0 {
 		err = a.config.Apply(renewed.Config)
 	}
+	a.share = renewed.Share
 	if len(renewed.Voters) > 0 {
 		a.voters = renewed.Voters
 	}
--- a/internal/connpool/set.go
+++ b/internal/connpool/set.go
@@ -25,7 +25,7 @@
 // Member is one upstream's pool with its circuit.
 type Member[C Conn] struct {
 	*Pool[C]
-	addr string
+	upstream topo.Announcement
 	// connections is what the upstream last announced, 0 before it has
 	// announced itself here.
 	connections int
@@ -40,6 +40,9 @@
 // ErrCircuitOpen ends what waits for an upstream whose circuit has opened.
 var ErrCircuitOpen = errors.New("connection pool: the circuit is open")
 
+// Upstream returns the announcement with which the pool was made.
+func (m *Member[C]) Upstream() topo.Announcement { return m.upstream }
+
 // Up returns a context that ends when the circuit opens.
 func (m *Member[C]) Up() context.Context {
 	m.mu.Lock()
@@ -65,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.pools[a.ID]
-	if ok && m.addr == a.Addr {
+	if ok && m.upstream.Addr == a.Addr {
 		if a.Connections > 0 && a.Connections != m.connections {
 			m.connections = a.Connections
 			m.SetLimit(s.limit(a))
@@ -75,7 +78,7 @@
 	if ok {
 		m.Close()
 	}
-	m = &Member[C]{Pool: NewPool(s.open(a), s.limit(a)), addr: a.Addr, connections: a.Connections}
+	m = &Member[C]{Pool: NewPool(s.open(a), s.limit(a)), upstream: a, connections: a.Connections}
 	m.renew()
 	m.onShort = func() { s.short(a.ID) }
 	s.pools[a.ID] = m
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
@@ -17,6 +19,7 @@
 	peer.Handle(s, ctlwire.KindEvidence, c.onEvidence)
 	peer.Handle(s, ctlwire.KindHeard, c.onHeard)
 	peer.Handle(s, ctlwire.KindHeardList, c.onHeardList)
+	peer.Handle(s, ctlwire.KindRelay, c.onRelay)
 	peer.Handle(s, ctlwire.KindSwitchover, c.onSwitchover)
 	peer.Handle(s, ctlwire.KindRemove, c.onRemove)
 }
@@ -81,6 +84,28 @@
 	return ok, nil
 }
 
+// relayable are the requests that a voter passes on to the leader.
+var relayable = map[string]bool{
+	ctlwire.KindRegister: true, ctlwire.KindRenew: true, ctlwire.KindLeave: true,
+	ctlwire.KindEvidence: true, ctlwire.KindHeard: true,
+}
+
+// onRelay passes a request on to the leader for an instance that can't reach
+// it. A lease is counted from the instance's send all the same.
+func (c *Controller) onRelay(ctx context.Context, req ctlwire.Relay) (ctlwire.Relayed, error) {
+	status := c.opts.Log.Status()
+	if !relayable[req.Kind] || status.IsLeader() || status.LeaderAddr == "" {
+		return ctlwire.Relayed{Status: ctlwire.NotLeader}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timing.Call)
+	defer cancel()
+	body, err := peer.Call[msgpack.RawMessage](ctx, c.opts.Client, status.LeaderAddr, req.Kind, req.Body)
+	if err != nil {
+		return ctlwire.Relayed{}, err
+	}
+	return ctlwire.Relayed{Status: ctlwire.OK, Body: body}, nil
+}
+
 func (c *Controller) onSwitchover(ctx context.Context, req ctlwire.Switchover) (ctlwire.Answer, error) {
 	if c.reigning() == nil {
 		return c.notLeader(), nil
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -48,6 +48,7 @@
 	defer r.mu.Unlock()
 	r.granter.Forget(k)
 	delete(r.confirmed, k)
+	delete(r.sessions, k)
 	delete(r.removing, k)
 }
 
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -41,7 +41,9 @@
 	granter   *lease.Granter
 	confirmed map[ctlstate.MemberKey]uint64
 	// removing are the members whose removal is decided.
-	removing  map[ctlstate.MemberKey]bool
+	removing map[ctlstate.MemberKey]bool
+	// sessions is how many callers each member serves.
+	sessions  map[ctlstate.MemberKey]int
 	detector  *failover.Detector
 	registry  *membership.Registry
 	drivers   map[topo.GroupID]*driver
@@ -72,6 +74,7 @@
 		granter:      lease.NewGranter(c.timing.Terms(), status.LeaderSince),
 		confirmed:    map[ctlstate.MemberKey]uint64{},
 		removing:     map[ctlstate.MemberKey]bool{},
+		sessions:     map[ctlstate.MemberKey]int{},
 		detector:     failover.NewDetector(detectorTiming(c.timing)),
 		inherited:    inheritedAttempts(c.opts.State),
 		registry:     membership.NewRegistry(c.timing.Announced),
@@ -167,12 +170,14 @@
 		return ctlwire.Renewed{Answer: ctlwire.Answer{Status: ctlwire.Superseded}}
 	}
 	r.granter.Grant(req.Key, arrival)
+	r.sessions[req.Key] = req.Sessions
 	r.confirmed[req.Key] = max(r.confirmed[req.Key], req.Confirmed)
 	return ctlwire.Renewed{
 		Answer: ok,
 		Delta:  r.c.opts.State.Since(req.Index),
 		Config: r.c.opts.State.SectionDelta(req.Revision),
 		Voters: r.c.allVoters(),
+		Share:  membership.Share(req.Key, r.liveSessions(arrival)),
 	}
 }
 
@@ -228,6 +233,15 @@
 	return keys
 }
 
+// liveSessions has the callers of each live member. It needs the lock.
+func (r *reign) liveSessions(now time.Time) map[ctlstate.MemberKey]int {
+	live := map[ctlstate.MemberKey]int{}
+	for _, k := range r.liveKeys(now) {
+		live[k] = r.sessions[k]
+	}
+	return live
+}
+
 func (r *reign) takeEvidence(req ctlwire.Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/core/isolation/isolation.go
+++ b/internal/core/isolation/isolation.go
@@ -27,18 +27,18 @@
 }
 
 // CutOff reports whether this instance, whose latest renewal lies renewedAgo
-// back, is cut off: another one has renewed its lease since, or none can be
-// reached. An instance that knows no other one is not cut off.
+// back, is cut off: another one has renewed its lease since, or cannot be
+// reached and so may have. Several instances may be cut off together; those
+// that answer then tell nothing. An instance that knows no other one is not
+// cut off.
 func CutOff(renewedAgo time.Duration, reports []Report) bool {
-	if renewedAgo < Patience || len(reports) == 0 {
+	if renewedAgo < Patience {
 		return false
 	}
-	reached := false
 	for _, r := range reports {
-		if r.Reached && r.Renewed && r.RenewedAgo+lead < renewedAgo {
+		if !r.Reached || r.Renewed && r.RenewedAgo+lead < renewedAgo {
 			return true
 		}
-		reached = reached || r.Reached
 	}
-	return !reached
+	return false
 }
--- a/internal/core/pool/share.go
+++ b/internal/core/pool/share.go
@@ -1,16 +1,12 @@
 package pool
 
-// reserve is the part of an upstream's connections that all instances together
-// leave free, since those of an instance that lost power stay counted for
-// seconds.
-const reserve = 0.5
+// usable is the part of an upstream's connections that the instances use
+// together. The rest is for instances that come back after a power loss: what
+// they left behind stays counted for seconds.
+const usable = 0.7
 
-// Share returns how many of an upstream's connections each of the instances
-// may hold: its part of what is not reserved, and one for each slot as far as
-// there are enough.
-func Share(connections, slots, instances int) int {
-	instances = max(instances, 1)
-	equal := connections / instances
-	unreserved := int((1-reserve)*float64(connections)) / instances
-	return max(min(slots, equal), unreserved, 1)
+// Share returns how many of an upstream's connections an instance with the
+// given part of the whole may hold, one at least.
+func Share(connections int, part float64) int {
+	return max(int(usable*float64(connections)*part), 1)
 }
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
@@ -15,6 +17,7 @@
 	KindEvidence   = "control.evidence"
 	KindHeard      = "control.heard"
 	KindHeardList  = "control.heardlist"
+	KindRelay      = "control.relay"
 	KindSwitchover = "control.switchover"
 	KindRemove     = "control.remove"
 )
@@ -65,6 +68,8 @@
 	Revision uint64 `msgpack:"r"`
 	// Confirmed is the epoch that the member confirms.
 	Confirmed uint64 `msgpack:"c"`
+	// Sessions is how many callers the member serves.
+	Sessions int `msgpack:"n,omitempty"`
 }
 
 // Renewed grants a lease on all groups as of Delta.
@@ -73,6 +78,8 @@
 	Delta  ctlstate.Delta `msgpack:"d"`
 	// Config brings the member's configuration to the latest revision.
 	Config []byte `msgpack:"c,omitempty"`
+	// Share is the member's part of what instances share, from 0 to 1.
+	Share float64 `msgpack:"sh,omitempty"`
 	// Voters are the peer addresses of the control voters.
 	Voters []string `msgpack:"v,omitempty"`
 }
@@ -160,6 +167,19 @@
 	RenewedAgo time.Duration `msgpack:"r"`
 }
 
+// Relay asks a voter to pass a request on to the leader, for an instance that
+// cannot reach it. The answer is the leader's.
+type Relay struct {
+	Kind string             `msgpack:"k"`
+	Body msgpack.RawMessage `msgpack:"b"`
+}
+
+// Relayed carries the leader's answer. Status tells why there is none.
+type Relayed struct {
+	Status Status             `msgpack:"s"`
+	Body   msgpack.RawMessage `msgpack:"b,omitempty"`
+}
+
 // Empty is a request or an answer without content.
 type Empty struct{}
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,8 +28,9 @@
 	Catalog func() *catalog.Catalog
 	// Open returns how connections to an upstream are opened.
 	Open func(topo.Announcement) connpool.OpenFunc[C]
-	// Instances returns how many entry instances share the upstreams.
-	Instances func() int
+	// Share returns this instance's part of the upstreams' connections, from 0
+	// to 1.
+	Share func() float64
 	// Events is told of decisions; nil tells nobody.
 	Events Events
 }
@@ -72,7 +73,7 @@
 			limit = g.Connections
 		}
 	}
-	return pool.Share(limit, a.Slots, e.opts.Instances())
+	return pool.Share(limit, e.opts.Share())
 }
 
 // Open starts a session on a database name. The outcome tells why there is
@@ -125,6 +126,7 @@
 	e.pools.Each(func(_ topo.UpstreamID, m *connpool.Member[*link[C]]) {
 		m.Reap(time.Now(), idleLink)
 		m.Retry(time.Now())
+		m.SetLimit(e.connectionShare(m.Upstream()))
 	})
 	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
 		if !g.StartSampleAfter(sampleAt, clock.Now()) {
