an overloaded primary is no dead one; one request learns the position for all

Change: a busy answer to a probe counts as a sign of life; a slow answer asks for a probe and is no evidence by itself; reads wait 100 ms for the position that one request learns by a statement that takes no slot.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -126,7 +126,9 @@
 	told     map[sightingKey]toldSighting
 	// served is when a primary last answered on a data connection.
 	served map[topo.GroupID]time.Time
-	heard  *spread.Announcements
+	// doubted are the groups whose primary a request found slow.
+	doubted map[topo.GroupID]bool
+	heard   *spread.Announcements
 }
 
 // New returns an agent and registers its handlers with the server.
@@ -158,6 +160,7 @@
 		changed:   make(chan struct{}),
 		told:      map[sightingKey]toldSighting{},
 		served:    map[topo.GroupID]time.Time{},
+		doubted:   map[topo.GroupID]bool{},
 		evidence:  spread.NewOutbox[sightingKey](spread.Latest[bool]),
 		heard:     spread.NewAnnouncements(opts.Now),
 	}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -31,6 +32,14 @@
 	a.served[g] = a.now()
 }
 
+// DoubtPrimary makes this instance check the group's primary at its next
+// opportunity, whoever else does.
+func (a *Agent) DoubtPrimary(g topo.GroupID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.doubted[g] = true
+}
+
 // toldSighting is what the leader was told last of a primary.
 type toldSighting struct {
 	reachable bool
@@ -99,11 +108,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	live := a.known.Live()
+	defer clear(a.doubted)
 	var targets []probeTarget
 	for id, r := range a.known.Groups {
 		probers := membership.Rendezvous(string(id), live, a.timing.Probers)
-		mine := slices.ContainsFunc(probers, func(m ctlstate.Member) bool { return m.ID == a.opts.Self.ID })
-		if mine && r.Attempt == nil && a.now().Sub(a.served[id]) >= a.timing.Probe {
+		mine := a.doubted[id] || slices.ContainsFunc(probers, func(m ctlstate.Member) bool { return m.ID == a.opts.Self.ID })
+		unheard := a.now().Sub(a.served[id]) >= a.timing.Probe
+		if mine && r.Attempt == nil && unheard {
 			targets = append(targets, probeTarget{sightingKey{id, r.Term}, r.Primary, a.addrOf(r, r.Primary)})
 		}
 	}
@@ -118,7 +129,7 @@
 		klog.V(2).Infof("agent: %s: primary %s of %s not reached: %v", a.opts.Self.ID, t.id, t.group, err)
 	}
 	serves := err == nil && s.ID == t.id && s.Role == topo.RolePrimary && s.FencedTerm <= t.term
-	a.sight(t.sightingKey, serves)
+	a.sight(t.sightingKey, serves || errors.Is(err, dbapi.ErrBusy))
 }
 
 // evidenceLoop sends the gathered evidence to the leader.
--- a/internal/ctlview/ctlview.go
+++ b/internal/ctlview/ctlview.go
@@ -51,6 +51,9 @@
 	PeerAddr(id topo.InstanceID) (string, bool)
 	// ReportPrimary tells whether a primary answered this instance.
 	ReportPrimary(g topo.GroupID, t topo.Term, reachable bool)
+	// DoubtPrimary asks for a check of a primary that is slow to answer. A slow
+	// answer alone is no evidence that it is gone.
+	DoubtPrimary(g topo.GroupID)
 	// Changed is closed at the next change of any of the above.
 	Changed() <-chan struct{}
 }
--- a/internal/dbapi/dbapi.go
+++ b/internal/dbapi/dbapi.go
@@ -13,6 +13,9 @@
 // ErrOutpaced means that the database is fenced to a higher term.
 var ErrOutpaced = errors.New("database: fenced to a higher term")
 
+// ErrBusy means that the database answered and had no room for the request.
+var ErrBusy = errors.New("database: busy")
+
 // Location says where one database of a group is reached.
 type Location struct {
 	Group topo.GroupID
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -89,14 +89,18 @@
 	case errors.Is(context.Cause(ctx), context.Canceled), errors.As(err, &refused), errors.Is(err, connpool.ErrExhausted):
 		a.member.Succeeded()
 	default:
-		a.unreachable()
+		a.failed(err)
 	}
 }
 
-// unreachable records that the upstream did not answer.
-func (a *access[C]) unreachable() {
+// failed records that the upstream did not answer.
+func (a *access[C]) failed(err error) {
 	a.member.FailedAt(time.Now(), jitter())
-	if a.term != 0 {
+	switch {
+	case a.term == 0:
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, connpool.ErrSlow):
+		a.engine.opts.Control.DoubtPrimary(a.upstream.Group)
+	default:
 		a.engine.opts.Control.ReportPrimary(a.upstream.Group, a.term, false)
 	}
 }
@@ -107,7 +111,7 @@
 	results, err := a.link.run(ctx, st)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
-			a.unreachable()
+			a.failed(err)
 		}
 		return Result{}, err
 	}
@@ -173,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 	defer cancel()
 	if _, err := l.run(ctx, Statement{Verb: Rollback}); err != nil {
-		a.unreachable()
+		a.failed(err)
 	}
 	a.member.Release(l)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/pool"
+	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlview"
 	"github.com/cicadacove/cicadacove/internal/groupstate"
@@ -41,9 +41,6 @@
 	groups *groupstate.Set
 	pools  *connpool.Set[*link[C]]
 	nextID atomic.Uint64
-
-	mu       sync.Mutex
-	draining bool
 }
 
 // New returns an engine without sessions.
@@ -132,17 +129,47 @@
 		if !g.StartSampleAfter(sampleAt, clock.Now()) {
 			return
 		}
-		go func() {
-			defer g.EndSample()
-			ctx, cancel := context.WithTimeout(ctx, askTimeout)
-			defer cancel()
-			if err := e.samplePrimary(ctx, id); err != nil {
-				klog.V(2).Infof("engine: position of %s not learned: %v", id, err)
-			}
-		}()
+		go e.sample(ctx, id, g)
 	})
 }
 
+// sampleWait is how long a read waits for the primary's position. Reads that
+// do without it all go to the primary.
+const sampleWait = 100 * time.Millisecond
+
+// awaitSample waits until the primary's position is known for the route's
+// age. One request asks for all.
+func (e *Engine[C]) awaitSample(w work) (routing.Requirement, bool) {
+	g, maxAge := e.groups.Get(w.route.Group), w.route.Service.MaxAge
+	if g.StartFirstSample(maxAge, clock.Now()) {
+		go e.sample(context.Background(), w.route.Group, g)
+	}
+	timer := time.NewTimer(sampleWait)
+	defer timer.Stop()
+	for {
+		sampled := g.Sampled()
+		if r, known := g.RequirementWithin(maxAge, clock.Now()); known {
+			return r, true
+		}
+		select {
+		case <-sampled:
+		case <-timer.C:
+			return routing.Requirement{}, false
+		}
+	}
+}
+
+// sample learns the primary's position and ends what StartSample or
+// StartFirstSample began.
+func (e *Engine[C]) sample(ctx context.Context, id topo.GroupID, g *groupstate.Group) {
+	defer g.EndSample()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if err := e.samplePrimary(ctx, id); err != nil {
+		klog.V(2).Infof("engine: position of %s not learned: %v", id, err)
+	}
+}
+
 // samplePrimary learns the primary's position from the answer to a statement
 // that takes no slot.
 func (e *Engine[C]) samplePrimary(ctx context.Context, id topo.GroupID) error {
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -262,6 +262,8 @@
 func (w *world) View() (ctlview.View, bool)                  { return ctlview.View{}, false }
 func (w *world) PeerAddr(topo.InstanceID) (string, bool)     { return "", false }
 func (w *world) ReportPrimary(topo.GroupID, topo.Term, bool) {}
+func (w *world) DoubtPrimary(topo.GroupID)                   {}
+
 func (w *world) Changed() <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -23,9 +23,6 @@
 	// firstAttemptShare is the part of the target after which a read that has
 	// no answer yet is tried at another upstream.
 	firstAttemptShare = 0.6
-	// laggingPause is the wait before a read is placed again after all
-	// upstreams lagged.
-	laggingPause = 5 * time.Millisecond
 )
 
 // seat is where a read is to run.
@@ -179,9 +176,13 @@
 	g.NoteRead(w.route.Service.MaxAge, now)
 	state, _ := ctl.Group(group)
 	required, known := g.RequirementWithin(w.route.Service.MaxAge, now)
+	if !known && leads {
+		required, known = s.engine.awaitSample(w)
+	}
 	if !known {
 		return primarySeat(auth, leads && !avoid[auth.Primary.ID])
 	}
+	now = clock.Now()
 	required.Point = state.Clamp(required.Point)
 	if w.route.Consistency == catalog.OwnWrites {
 		required = s.withOwnCommits(required, state, now)
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -120,6 +120,8 @@
 	lastRead time.Time
 	leastAge time.Duration
 	sampling bool
+	// sampled is closed at the next sample; nil while nobody waits.
+	sampled chan struct{}
 	// tail is what a write takes after it has given its slot back: the
 	// confirmation and the answer. It is the latest peak, which fades.
 	tail time.Duration
@@ -192,6 +194,31 @@
 	return true
 }
 
+// StartFirstSample reports whether the caller is to learn the primary's
+// position because it is not known for maxAge and nobody else asks. EndSample
+// must follow.
+func (g *Group) StartFirstSample(maxAge time.Duration, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, known := g.tracker.RequirementWithin(maxAge, now)
+	if known || g.sampling {
+		return false
+	}
+	g.sampling = true
+	return true
+}
+
+// Sampled returns a channel that is closed at the next sample of the
+// primary's position.
+func (g *Group) Sampled() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sampled == nil {
+		g.sampled = make(chan struct{})
+	}
+	return g.sampled
+}
+
 // EndSample ends what StartSample began.
 func (g *Group) EndSample() {
 	g.mu.Lock()
@@ -254,6 +281,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.ObservePrimary(p, sentAt)
+	if g.sampled != nil {
+		close(g.sampled)
+		g.sampled = nil
+	}
 }
 
 // ObserveReplica records a replica's point, learned at time at.
