engine: instances share the primary's positions after a start

Change: an instance without a position asks the others; the age counts from the send of its question. Lost and regained upstreams are logged.

--- a/internal/connpool/set.go
+++ b/internal/connpool/set.go
@@ -131,22 +131,29 @@
 	return m.circuit.Allow(now)
 }
 
-// Succeeded records that the upstream answered.
-func (m *Member[C]) Succeeded() {
+// Succeeded records that the upstream answered. closed tells that the circuit
+// had been open until now.
+func (m *Member[C]) Succeeded() (closed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.circuit.Success()
-	if m.up.Err() != nil {
+	closed = m.up.Err() != nil
+	if closed {
 		m.renew()
 	}
+	return closed
 }
 
-// FailedAt records that the upstream did not answer.
-func (m *Member[C]) FailedAt(now time.Time, jitter float64) {
+// FailedAt records that the upstream did not answer. opened tells that the
+// circuit has opened by that.
+func (m *Member[C]) FailedAt(now time.Time, jitter float64) (opened bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.circuit.Failure(now, jitter)
-	if m.circuit.Open(now) {
-		m.broken(ErrCircuitOpen)
+	if !m.circuit.Open(now) {
+		return false
 	}
+	opened = m.up.Err() == nil
+	m.broken(ErrCircuitOpen)
+	return opened
 }
--- a/internal/core/routing/tracker.go
+++ b/internal/core/routing/tracker.go
@@ -108,6 +108,16 @@
 	return Requirement{}, false
 }
 
+// LatestSample returns the newest sample of the primary's position and when it
+// was asked for.
+func (t *Tracker) LatestSample() (p topo.Point, sentAt time.Time, known bool) {
+	if len(t.samples) == 0 {
+		return topo.Point{}, time.Time{}, false
+	}
+	last := t.samples[len(t.samples)-1]
+	return last.point, last.sentAt, true
+}
+
 // LastSample returns when the newest sample of the primary was asked for.
 func (t *Tracker) LastSample() time.Time {
 	if len(t.samples) == 0 {
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -87,15 +87,24 @@
 	var refused *RefusedError
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled), errors.As(err, &refused), errors.Is(err, connpool.ErrExhausted):
-		a.member.Succeeded()
+		a.reached()
 	default:
 		a.failed(err)
 	}
 }
 
+// reached records that the upstream answered.
+func (a *access[C]) reached() {
+	if a.member.Succeeded() {
+		a.engine.opts.Events.UpstreamBack(a.upstream.ID)
+	}
+}
+
 // failed records that the upstream did not answer.
 func (a *access[C]) failed(err error) {
-	a.member.FailedAt(time.Now(), jitter())
+	if a.member.FailedAt(time.Now(), jitter()) {
+		a.engine.opts.Events.UpstreamLost(a.upstream.ID, err)
+	}
 	switch {
 	case a.term == 0:
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, connpool.ErrSlow):
@@ -122,7 +131,7 @@
 
 func (a *access[C]) answered(sentAt time.Time, point topo.Point) {
 	now := clock.Now()
-	a.member.Succeeded()
+	a.reached()
 	g := a.engine.groups.Get(a.upstream.Group)
 	g.ObserveAnswer(a.upstream.ID, now.Sub(sentAt))
 	g.ObserveReplica(a.upstream.ID, point, now)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -31,6 +31,8 @@
 	// Share returns this instance's part of the upstreams' connections, from 0
 	// to 1.
 	Share func() float64
+	// Peers reaches the other entry instances; the zero value reaches none.
+	Peers Peers
 	// Events is told of decisions; nil tells nobody.
 	Events Events
 }
@@ -50,6 +52,7 @@
 	}
 	e := &Engine[C]{opts: opts, groups: groupstate.New(admission.Ranked, wholeShare{})}
 	e.pools = connpool.NewSet(e.openLink, e.connectionShare)
+	e.handlePeers()
 	return e
 }
 
@@ -142,7 +145,7 @@
 func (e *Engine[C]) awaitSample(w work) (routing.Requirement, bool) {
 	g, maxAge := e.groups.Get(w.route.Group), w.route.Service.MaxAge
 	if g.StartFirstSample(maxAge, clock.Now()) {
-		go e.sample(context.Background(), w.route.Group, g)
+		go e.firstSample(w.route.Group, g)
 	}
 	timer := time.NewTimer(sampleWait)
 	defer timer.Stop()
@@ -159,6 +162,15 @@
 	}
 }
 
+// firstSample learns the primary's position from the primary or from another
+// instance, whichever answers first.
+func (e *Engine[C]) firstSample(id topo.GroupID, g *groupstate.Group) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	go e.askPeers(ctx, id)
+	e.sample(ctx, id, g)
+}
+
 // sample learns the primary's position and ends what StartSample or
 // StartFirstSample began.
 func (e *Engine[C]) sample(ctx context.Context, id topo.GroupID, g *groupstate.Group) {
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -27,8 +27,14 @@
 // Events is told of decisions. Its methods must not wait.
 type Events interface {
 	Ended(Ended)
+	// UpstreamLost tells that the circuit of an upstream has opened after the
+	// error, UpstreamBack that it has closed again.
+	UpstreamLost(topo.UpstreamID, error)
+	UpstreamBack(topo.UpstreamID)
 }
 
 type noEvents struct{}
 
-func (noEvents) Ended(Ended) {}
+func (noEvents) Ended(Ended)                         {}
+func (noEvents) UpstreamLost(topo.UpstreamID, error) {}
+func (noEvents) UpstreamBack(topo.UpstreamID)        {}
--- /dev/null
+++ b/internal/engine/positions.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cicadacove/cicadacove/internal/clock"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/peer"
+)
+
+// kindPosition asks another entry instance for a primary's position.
+const kindPosition = "engine.position"
+
+type positionRequest struct {
+	Group topo.GroupID `msgpack:"g"`
+}
+
+// positionReply is the latest position that the instance knows. Age counts
+// from the send of the question to the primary.
+type positionReply struct {
+	Known bool          `msgpack:"k"`
+	Point topo.Point    `msgpack:"p"`
+	Age   time.Duration `msgpack:"a"`
+}
+
+// Peers reaches the other entry instances.
+type Peers struct {
+	Client *peer.Client
+	Server *peer.Server
+	// Others returns the addresses of the other instances.
+	Others func() []string
+}
+
+func (e *Engine[C]) handlePeers() {
+	if e.opts.Peers.Server == nil {
+		return
+	}
+	peer.Handle(e.opts.Peers.Server, kindPosition, func(_ context.Context, req positionRequest) (positionReply, error) {
+		p, at, known := e.groups.Get(req.Group).LatestSample()
+		return positionReply{Known: known, Point: p, Age: clock.Since(at)}, nil
+	})
+}
+
+// askPeers learns a primary's position from instances that know it. Another
+// instance answers after the question was sent, so its age counts from there:
+// a delay on the way only makes the position look older.
+func (e *Engine[C]) askPeers(ctx context.Context, id topo.GroupID) {
+	if e.opts.Peers.Others == nil {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, addr := range e.opts.Peers.Others() {
+		wg.Go(func() {
+			askedAt := clock.Now()
+			reply, err := peer.Call[positionReply](ctx, e.opts.Peers.Client, addr, kindPosition, positionRequest{id})
+			if err != nil {
+				klog.V(2).Infof("engine: position of %s not learned from %s: %v", id, addr, err)
+				return
+			}
+			if reply.Known {
+				e.groups.Get(id).ObservePrimary(reply.Point, askedAt.Add(-reply.Age))
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -275,6 +275,14 @@
 	return g.tracker.RequirementWithin(maxAge, now)
 }
 
+// LatestSample returns the newest known position of the primary and when it
+// was asked for.
+func (g *Group) LatestSample() (p topo.Point, sentAt time.Time, known bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.LatestSample()
+}
+
 // ObservePrimary records the primary's point, from an answer whose request was
 // sent at sentAt.
 func (g *Group) ObservePrimary(p topo.Point, sentAt time.Time) {
