--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -377,3 +377,10 @@
 	defer a.mu.Unlock()
 	return !a.renewedAt.IsZero() && a.state != stateLeft
 }
+
+// LeaseRemaining returns the time until the lease ends, zero without one.
+func (a *Agent) LeaseRemaining() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return max(a.holder.Until().Sub(a.now()), 0)
+}
--- a/internal/connpool/set.go
+++ b/internal/connpool/set.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// Stats returns the numbers of connections to an upstream, zero for one that
+// has not been used.
+func (s *Set[C]) Stats(id topo.UpstreamID) Stats {
+	m, ok := s.Lookup(id)
+	if !ok {
+		return Stats{}
+	}
+	return m.Stats()
+}
+
 // Each calls f for every pool.
 func (s *Set[C]) Each(f func(id topo.UpstreamID, m *Member[C])) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/core/logbudget/logbudget_test.go
@@ -0,0 +1,35 @@
+package logbudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A flood of refusals leaves the lines about changes alone, and what was left
+// out is counted.
+func TestFloodOfFailuresKeepsChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(now)
+	written := 0
+	for range 10_000 {
+		now = now.Add(100 * time.Microsecond)
+		if b.Take(Failure, now) {
+			written++
+		}
+	}
+	require.InDelta(t, limits[Failure].burst+limits[Failure].perSecond, written, 2)
+	require.True(t, b.Take(Change, now))
+	require.Equal(t, map[Class]uint64{Failure: uint64(10_000 - written)}, b.TakeLeftOut())
+	require.Empty(t, b.TakeLeftOut())
+	require.True(t, b.Take(Failure, now.Add(time.Second)), "the budget refills")
+}
+
+func TestTimeThatGoesBackGivesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(now)
+	for b.Take(Success, now) {
+	}
+	require.False(t, b.Take(Success, now.Add(-time.Hour)))
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -213,3 +213,6 @@
 
 // jitter is a random part of an interval.
 func jitter() float64 { return rand.Float64() }
+
+// Gauges returns the numbers of all upstreams in use.
+func (e *Engine[C]) Gauges() []groupstate.Gauges { return e.groups.Gauges(e.pools.Stats) }
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -18,10 +18,16 @@
 	Upstream topo.UpstreamID
 	// Term is that of the lease the answer depended on, zero without one.
 	Term topo.Term
-	// Required is the point that a read had to cover.
-	Required topo.Point
+	// Required is the point that a read had to cover, RequiredAge how long ago
+	// the primary had reached it at least.
+	Required    topo.Point
+	RequiredAge time.Duration
+	// Config is the version of the configuration in force.
+	Config   uint64
 	Attempts int
-	Took     time.Duration
+	// Waited is the time until the statement had a slot and a connection.
+	Waited time.Duration
+	Took   time.Duration
 }
 
 // Events is told of decisions. Its methods must not wait.
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -30,8 +30,10 @@
 	upstream topo.Announcement
 	// term is set for a read that only the lease on the primary makes safe.
 	term topo.Term
-	// required is what the upstream must prove to hold otherwise.
+	// required is what the upstream must prove to hold otherwise, age how long
+	// ago the primary had reached it at least.
 	required topo.Point
+	age      time.Duration
 }
 
 // readOnce serves a read outside of transactions. It may run at several
@@ -64,7 +66,7 @@
 // readAt runs a read at one upstream. again says that another one may serve
 // it.
 func (s *Session[C]) readAt(ctx context.Context, w work, at seat, attempt int) (r Reply, again bool) {
-	s.told.Upstream, s.told.Term, s.told.Required = at.upstream.ID, at.term, at.required
+	s.tell(at)
 	if attempt == 1 {
 		var cancel context.CancelFunc
 		limit := time.Duration(firstAttemptShare * float64(w.route.Service.Target))
@@ -74,6 +76,7 @@
 	a := s.engine.newAccess(at.upstream, at.term)
 	defer a.close()
 	o, err := a.open(ctx, w.request)
+	s.told.Waited = time.Since(w.arrived)
 	if err != nil {
 		return refused(unusable(err)), true
 	}
@@ -93,6 +96,12 @@
 	return s.answer(result, at, false), false
 }
 
+// tell notes where the statement runs.
+func (s *Session[C]) tell(at seat) {
+	s.told.Upstream, s.told.Term = at.upstream.ID, at.term
+	s.told.Required, s.told.RequiredAge = at.required, at.age
+}
+
 // rereads reports whether a read that ended with the code may be served by
 // another upstream, and what the caller is told if none is left.
 func rereads(c Code) (bool, outcome.Outcome) {
@@ -200,7 +209,7 @@
 	if !ok {
 		return seat{}, outcome.Refused(outcome.CodeNoUpstream, "no upstream can serve the read now"), false
 	}
-	return seat{upstream: upstreams[best.ID], required: required.Point}, outcome.Outcome{}, true
+	return seat{upstream: upstreams[best.ID], required: required.Point, age: required.Age}, outcome.Outcome{}, true
 }
 
 // withOwnCommits raises the requirement to the session's latest commit that
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -61,6 +61,9 @@
 func (s *Session[C]) Handle(ctx context.Context, st Statement, deliver func(Reply) error) error {
 	arrived := time.Now()
 	s.told = Ended{ID: st.ID, Database: s.database, Verb: st.Verb}
+	if c := s.engine.opts.Catalog(); c != nil {
+		s.told.Config = c.Version
+	}
 	r := s.serve(ctx, st, arrived)
 	r.State = s.State()
 	err := s.deliver(&r, deliver)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
@@ -72,7 +73,7 @@
 			return s.failWith(o)
 		}
 	}
-	s.told.Upstream, s.told.Term, s.told.Required = tx.at.upstream.ID, tx.at.term, tx.at.required
+	s.tell(tx.at)
 	if !fresh {
 		w.inTransaction = true
 		o, err := tx.access.open(ctx, w.request)
@@ -84,6 +85,7 @@
 		}
 	}
 	defer tx.access.releaseSlot()
+	s.told.Waited = time.Since(w.arrived)
 	if w.statement.Verb == Commit {
 		return s.commit(ctx, w)
 	}
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -28,6 +28,15 @@
 	Reset
 )
 
+// String names the verb for logs.
+func (v Verb) String() string {
+	names := [...]string{"", "begin", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate", "reset"}
+	if v < 0 || int(v) >= len(names) {
+		return "unknown"
+	}
+	return names[v]
+}
+
 // Definition is what a prepared statement does.
 type Definition struct {
 	Writes bool
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -21,10 +21,12 @@
 		return refused(noPrimary())
 	}
 	at := seat{upstream: auth.Primary, term: auth.Term}
-	s.told.Upstream, s.told.Term, s.told.Attempts = at.upstream.ID, at.term, 1
+	s.tell(at)
+	s.told.Attempts = 1
 	a := s.engine.newAccess(at.upstream, at.term)
 	defer a.close()
 	o, err := a.open(ctx, w.request)
+	s.told.Waited = time.Since(w.arrived)
 	if err != nil {
 		return refused(unusable(err))
 	}
--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"time"
-
-	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -72,25 +69,9 @@
 }
 
 // Gauges are numbers about the present state of an upstream at this instance.
-type Gauges struct {
-	Upstream topo.UpstreamID
-	Group    topo.GroupID
-	Load     admission.Load
-	Pool     connpool.Stats
-	Lag      time.Duration
-}
+type Gauges = groupstate.Gauges
 
 // Gauges returns the numbers of all upstreams in use.
 func (s *Server) Gauges() []Gauges {
-	var out []Gauges
-	s.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
-		for up, gt := range g.AllGates() {
-			item := Gauges{Upstream: up, Group: id, Load: gt.Load(), Lag: g.Lag(up)}
-			if m, ok := s.opts.Upstreams.Lookup(up); ok {
-				item.Pool = m.Stats()
-			}
-			out = append(out, item)
-		}
-	})
-	return out
+	return s.groups.Gauges(s.opts.Upstreams.Stats)
 }
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
+	"github.com/cicadacove/cicadacove/internal/core/pool"
 	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/gate"
@@ -339,3 +340,24 @@
 	defer g.mu.Unlock()
 	return routing.Choose(p, now, state, g.tracker, r, replicas, primary)
 }
+
+// Gauges are numbers about the present state of an upstream at this instance.
+type Gauges struct {
+	Upstream topo.UpstreamID
+	Group    topo.GroupID
+	Load     gate.Load
+	Pool     pool.Stats
+	Lag      time.Duration
+}
+
+// Gauges returns the numbers of all upstreams in use. connections returns
+// those of an upstream's pool.
+func (gs *Set) Gauges(connections func(topo.UpstreamID) pool.Stats) []Gauges {
+	var out []Gauges
+	gs.Each(func(id topo.GroupID, g *Group) {
+		for up, gt := range g.AllGates() {
+			out = append(out, Gauges{Upstream: up, Group: id, Load: gt.Load(), Pool: connections(up), Lag: g.Lag(up)})
+		}
+	})
+	return out
+}
--- a/internal/telemetry/attributes.go
+++ b/internal/telemetry/attributes.go
@@ -20,6 +20,7 @@
 	keyState    = attribute.Key("state")
 	keyKept     = attribute.Key("kept")
 	keyReason   = attribute.Key("reason")
+	keyClass    = attribute.Key("class")
 )
 
 // States of a pool's connections.
@@ -79,6 +80,12 @@
 	return []attribute.KeyValue{keyService.String(k.service), keyReason.String(k.reason)}
 }
 
+type classKey struct{ class string }
+
+func (k classKey) attributes() []attribute.KeyValue {
+	return []attribute.KeyValue{keyClass.String(k.class)}
+}
+
 type groupKey struct{ group topo.GroupID }
 
 func (k groupKey) attributes() []attribute.KeyValue {
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -38,6 +38,7 @@
 	replicaLag      metric.Int64Gauge
 	leader          metric.Int64Gauge
 	controlBytes    metric.Int64Counter
+	logLeftOut      metric.Int64Counter
 
 	options sync.Map // from attributeKey to metric.MeasurementOption
 }
@@ -93,6 +94,7 @@
 		replicaLag:      b.gauge("cicadacove.replica.lag", "{transaction}", "Transactions by which a replica is behind its primary"),
 		leader:          b.gauge("cicadacove.control.leader", "{leader}", "1 when the instance's voter leads, else 0"),
 		controlBytes:    b.counter("cicadacove.control.bytes", "By", "Bytes sent between entry instances"),
+		logLeftOut:      b.counter("cicadacove.log.left_out", "{line}", "Log lines that were left out, by class"),
 	}
 	return i, errors.Join(b.errs...)
 }
@@ -254,3 +256,12 @@
 	}
 	i.controlBytes.Add(context.Background(), int64(n))
 }
+
+// LogLeftOut counts log lines that were left out. The class is one of a few
+// fixed words.
+func (i *Instruments) LogLeftOut(class string, lines uint64) {
+	if i == nil {
+		return
+	}
+	i.logLeftOut.Add(context.Background(), int64(lines), i.option(classKey{class}))
+}
