--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -14,6 +14,7 @@
 // Document is the content at one version.
 type Document struct {
 	Version uint64 `msgpack:"v"`
+	// Content is in the form of Pack where it comes from a docstore.
 	Content []byte `msgpack:"c"`
 }
 
--- a/internal/docstore/docstore.go
+++ b/internal/docstore/docstore.go
@@ -50,9 +50,18 @@
 	return s
 }
 
-// Put commits a document and returns once a quorum holds it. Error: ErrNoLeader
+// Put commits a content and returns once a quorum holds it. Error: ErrNoLeader
 // and others; the document may then be in force all the same.
-func (s *Store) Put(ctx context.Context, d document.Document) (document.Result, error) {
+func (s *Store) Put(ctx context.Context, version uint64, content []byte) (document.Result, error) {
+	packed, err := document.Pack(content)
+	if err != nil {
+		return document.Result{}, err
+	}
+	return s.forward(ctx, document.Document{Version: version, Content: packed})
+}
+
+// forward puts a document here if this voter leads, else at the leader.
+func (s *Store) forward(ctx context.Context, d document.Document) (document.Result, error) {
 	if s.log.Status().IsLeader() {
 		return s.put(ctx, d)
 	}
@@ -79,9 +88,19 @@
 	return document.DecodeResult(out)
 }
 
-// Latest returns the document after a quorum has confirmed that there is no
+// Latest returns the content after a quorum has confirmed that there is no
 // later one. found is false before the first document.
-func (s *Store) Latest(ctx context.Context) (d document.Document, found bool, err error) {
+func (s *Store) Latest(ctx context.Context) (content []byte, found bool, err error) {
+	d, found, err := s.ask(ctx)
+	if err != nil || !found {
+		return nil, false, err
+	}
+	content, err = document.Unpack(d.Content)
+	return content, err == nil, err
+}
+
+// ask reads the document here if this voter leads, else at the leader.
+func (s *Store) ask(ctx context.Context) (d document.Document, found bool, err error) {
 	if s.log.Status().IsLeader() {
 		return s.latest(ctx)
 	}
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -19,7 +19,7 @@
 	maxReadAttempts = 4
 	// detour is what the way to another availability zone counts for when
 	// upstreams are compared: its latency, and the bytes that cross.
-	detour = 6 * time.Millisecond
+	detour = 12 * time.Millisecond
 	// firstAttemptShare is the part of the target after which a read that has
 	// no answer yet is tried at another upstream.
 	firstAttemptShare = 0.6
