engine: a lost COMMIT of reads keeps nothing; transactions are given up in time

Change: such a COMMIT is refused as rolled back, and so is a transaction whose statement has no answer after three quarters of the target. The lines of control and of the platform carry fields.

--- a/internal/agent/isolation.go
+++ b/internal/agent/isolation.go
@@ -62,7 +62,7 @@
 	if cutOff {
 		a.cutOffSince = a.now()
 	}
-	klog.Infof("agent: %s: cut off: %t; lease renewed %v ago", a.opts.Self.ID, cutOff, ago)
+	klog.InfoS("agent: cut off from the others", "instance", a.opts.Self.ID, "cut_off", cutOff, "renewed_ms_ago", ago.Milliseconds())
 }
 
 // askWitnesses asks other instances, first those of other availability zones.
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -212,7 +212,7 @@
 		a.mu.Lock()
 		now := a.now()
 		if a.state == stateHeld && !a.holder.Valid(now) {
-			klog.Warningf("agent: %s: lease expired", a.opts.Self.ID)
+			klog.InfoS("agent: lease expired", "instance", a.opts.Self.ID, "renewed_ms_ago", now.Sub(a.renewedAt).Milliseconds(), "leader", a.leader)
 			a.step(eventExpired)
 		}
 		a.registry.Prune(now, forgetAfter)
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -69,7 +69,8 @@
 	if name == "" {
 		return running
 	}
-	klog.Infof("control: failover of %s: %s, now %s in term %d", d.group, name, d.attempt.State(), d.attempt.Term())
+	klog.InfoS("control: failover", "group", d.group, "event", name, "state", d.attempt.State(), "term", d.attempt.Term(),
+		"replaced", record.Primary, "chosen", d.attempt.Chosen())
 	d.r.c.observe(Event{At: clock.Now(), Group: d.group, Term: d.attempt.Term(), Name: name})
 	for _, c := range commands {
 		if _, stop := c.(failover.Stop); stop {
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -32,7 +32,9 @@
 		}
 		r.detector.Watch(id, record.Term, now)
 		if r.primaryGone(record) || r.detector.Suspected(id, live, now) {
-			klog.Warningf("control: primary %s of %s in term %d is suspected", record.Primary, id, record.Term)
+			e := r.detector.Evidence(id, live, now)
+			klog.InfoS("control: primary suspected", "group", id, "upstream", record.Primary, "term", record.Term,
+				"silence_ms", e.Silence.Milliseconds(), "witnesses", e.Witnesses, "members", len(live), "gone", r.primaryGone(record))
 			r.start(ctx, g, id, failover.Suspect{})
 			continue
 		}
@@ -70,7 +72,7 @@
 }
 
 func (r *reign) replaceLeaving(ctx context.Context, id topo.GroupID, to topo.UpstreamID) {
-	klog.Infof("control: primary of %s is leaving; switching over to %s", id, to)
+	klog.InfoS("control: primary is leaving", "group", id, "successor", to)
 	err := r.c.Switchover(ctx, id, to)
 	if err != nil {
 		klog.Warningf("control: primary of %s is leaving: %v", id, err)
--- a/internal/core/failover/attempt.go
+++ b/internal/core/failover/attempt.go
@@ -58,6 +58,9 @@
 // Done reports whether the attempt has ended.
 func (a *Attempt) Done() bool { return a.machine.State() == Steady }
 
+// Chosen returns the database that is to be promoted, empty before the choice.
+func (a *Attempt) Chosen() topo.UpstreamID { return a.choice.ID }
+
 // Term returns the term of the attempt, zero before it has begun.
 func (a *Attempt) Term() topo.Term {
 	if a.record.Attempt == nil {
--- a/internal/core/failover/detector.go
+++ b/internal/core/failover/detector.go
@@ -118,6 +118,29 @@
 	return lasting >= MinWitnesses && lasting > len(live)/2
 }
 
+// Evidence sums up why a primary is suspected, for the log.
+type Evidence struct {
+	// Silence is the time since its last sign of life.
+	Silence time.Duration
+	// Witnesses is how many live members have failed to reach it lately.
+	Witnesses int
+}
+
+// Evidence returns what is known against the group's primary.
+func (d *Detector) Evidence(g topo.GroupID, live []ctlstate.MemberKey, now time.Time) Evidence {
+	e, ok := d.groups[g]
+	if !ok {
+		return Evidence{}
+	}
+	sum := Evidence{Silence: now.Sub(d.seen(e))}
+	for _, m := range live {
+		if f, failed := e.failed[m]; failed && now.Sub(f.last) < d.timing.Fresh {
+			sum.Witnesses++
+		}
+	}
+	return sum
+}
+
 // seen returns when the primary last gave a sign of life. An announcement
 // counts as one for at most one silence after a member last reached the
 // primary: a primary that only announces itself serves nobody.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -192,3 +192,22 @@
 	require.Equal(t, outcome.Done, r.Outcome.Kind)
 	require.Equal(t, "sig", r.Signature)
 }
+
+// Nothing of a transaction that only read can be kept, whatever became of its
+// COMMIT, so the caller may begin again.
+func TestLostCommitOfReadsKeepsNothing(t *testing.T) {
+	w := newWorld()
+	c := open(t, newEngine(w), "old")
+	c.begin(true)
+	require.Equal(t, outcome.Done, c.read("x").Outcome.Kind)
+	w.fail = func(_ topo.UpstreamID, st Statement) failure {
+		if st.Verb == Commit {
+			return lostAfter
+		}
+		return none
+	}
+	r := c.commit()
+	require.Equal(t, outcome.NotRun, r.Outcome.Kind)
+	require.Equal(t, outcome.CodeRolledBack, r.Outcome.Code)
+	require.Equal(t, TxNone, r.State)
+}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -157,6 +157,8 @@
 func (s *Session[C]) runInTransaction(ctx context.Context, w work) Reply {
 	tx := s.tx
 	tx.wrote = tx.wrote || w.writes
+	ctx, cancel := context.WithTimeout(ctx, answerPatience(w.route))
+	defer cancel()
 	result, err := s.execute(ctx, tx.access, w, topo.Point{})
 	if err != nil {
 		return s.failWith(rolledBack(err.Error()))
@@ -185,18 +187,32 @@
 	}
 	result, err := s.execute(ctx, tx.access, w, topo.Point{})
 	s.endTransaction()
-	if err != nil {
+	switch {
+	case err != nil && tx.wrote:
 		return refused(lostCommit(ctx, err))
-	}
-	if result.Code == CodeNone && tx.wrote {
+	case err != nil:
+		return refused(rolledBack(err.Error())) // there was nothing to keep
+	case result.Code == CodeNone && tx.wrote:
 		s.committed(w.route.Group, result.Point)
-	}
-	if result.Code.notRun() {
+	case result.Code != CodeNone && (result.Code.notRun() || !tx.wrote):
 		return refused(rolledBack(string(result.Code) + " " + result.Detail))
 	}
 	return s.answer(result, tx.at, tx.wrote)
 }
 
+const (
+	// answerShare is the part of the target after which a statement of a
+	// transaction is given up that has no answer. Nothing of it is kept, so the
+	// caller can begin again while there is time.
+	answerShare = 0.75
+	// minAnswerPatience covers the longest usual statements with some queue.
+	minAnswerPatience = 250 * time.Millisecond
+)
+
+func answerPatience(r catalog.Route) time.Duration {
+	return max(time.Duration(answerShare*float64(r.Service.Target)), minAnswerPatience)
+}
+
 func lostCommit(ctx context.Context, err error) outcome.Outcome {
 	var setUp *SetUpError
 	if errors.As(err, &setUp) {
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -257,7 +257,7 @@
 // that ask to join.
 func (v *Voter) logChanges(s replog.Status) {
 	if s.Role != v.logged.Role {
-		klog.Infof("voter: %s is %s in term %d, leader %q", s.ID, s.Role, s.Term, s.Leader)
+		klog.InfoS("voter: role changed", "voter", s.ID, "role", string(s.Role), "term", s.Term, "leader", s.Leader)
 	}
 	if !slices.Equal(s.Members, v.logged.Members) {
 		klog.Infof("voter: members are now %v", s.Members)
