silent connections: links are pinged, pools drop what may be silent, timeouts ask for a probe

Cause: a connection may go silent without an error. Messages without a reply on such a link between instances were lost until the kernel gave up; a pool handed out one silent connection after the other; a read timeout of the socket counted as proof that a primary was gone, other than one of the context.

Change: a link on which something was sent and nothing came back is pinged each second; after a statement without an answer the connections that have been idle since before are closed; all timeouts ask for a probe.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -162,6 +162,11 @@
 	p.do(func() []pool.Action { return p.core.Reap(now, limit) })
 }
 
+// DropIdleSince closes the connections that have been idle since before a time.
+func (p *Pool[C]) DropIdleSince(before time.Time) {
+	p.do(func() []pool.Action { return p.core.DropIdleSince(before) })
+}
+
 // Retry opens connections again where an upstream that had too many may have
 // room. It is to be called several times a second.
 func (p *Pool[C]) Retry(now time.Time) { p.do(func() []pool.Action { return p.core.Retry(now) }) }
--- a/internal/core/pool/full_test.go
+++ b/internal/core/pool/full_test.go
@@ -31,3 +31,18 @@
 	p.Acquire(1, 0)
 	require.Equal(t, []Action{Fail{1}}, p.OpenRefused(0, now))
 }
+
+// After a statement without an answer, connections that have been idle since
+// before may be silent too; those that answered later are alive.
+func TestConnectionsIdleSinceBeforeAreDropped(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(3)
+	p.Acquire(1, 0)
+	p.Acquire(2, 0)
+	p.Opened(7, 0, now)
+	p.Opened(8, 0, now)
+	p.Release(7, true, now)
+	p.Release(8, true, now.Add(time.Second))
+	require.Equal(t, []Action{Close{7}}, p.DropIdleSince(now.Add(time.Second)))
+	require.Equal(t, 1, p.Stats().Idle)
+}
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -172,6 +172,17 @@
 	return p.OpenFailed(term)
 }
 
+// DropIdleSince closes the connections that have been idle since before a time:
+// a statement sent then got no answer, and they may be silent like the one that
+// carried it.
+func (p *Pool) DropIdleSince(before time.Time) []Action {
+	var actions []Action
+	for len(p.idle) > 0 && p.conns[p.idle[0]].idleSince.Before(before) {
+		actions = append(actions, p.dropOldest())
+	}
+	return actions
+}
+
 // Retry opens connections for waiters again once an upstream that had too many
 // may have room.
 func (p *Pool) Retry(now time.Time) []Action {
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"github.com/cicadacove/cicadacove/internal/clock"
@@ -93,6 +94,11 @@
 	}
 }
 
+// isTimeout reports whether an upstream was silent rather than gone.
+func isTimeout(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // reached records that the upstream answered.
 func (a *access[C]) reached() {
 	if a.member.Succeeded() {
@@ -107,7 +113,7 @@
 	}
 	switch {
 	case a.term == 0:
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, connpool.ErrSlow):
+	case isTimeout(err), errors.Is(err, connpool.ErrSlow):
 		a.engine.opts.Control.DoubtPrimary(a.upstream.Group)
 	default:
 		a.engine.opts.Control.ReportPrimary(a.upstream.Group, a.term, false)
@@ -116,8 +122,11 @@
 
 // run sends a statement and takes in what its answer tells of the upstream.
 func (a *access[C]) run(ctx context.Context, st Statement) (Result, error) {
-	sentAt := clock.Now()
+	sentAt, before := clock.Now(), time.Now()
 	results, err := a.link.run(ctx, st)
+	if isTimeout(err) {
+		a.member.DropIdleSince(before)
+	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			a.failed(err)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -71,10 +72,8 @@
 	id, reply := l.expect()
 	defer l.forget(id)
 	request := Frame{ID: id, Kind: kind, Body: body}
-	c.opts.stamp(&request)
-	if err := l.out.write(&request); err != nil {
-		l.fail()
-		return Frame{}, ErrClosed
+	if err := l.send(c.opts, &request); err != nil {
+		return Frame{}, err
 	}
 	select {
 	case f := <-reply:
@@ -96,6 +95,7 @@
 	l := &link{connected: make(chan struct{}), done: make(chan struct{}), pending: map[uint64]chan Frame{}}
 	c.links[addr] = l
 	go l.run(c.opts, addr)
+	go l.watch(c.opts)
 	return l
 }
 
@@ -111,6 +111,8 @@
 	dead    bool
 	nextID  uint64
 	pending map[uint64]chan Frame
+	// used says that something was sent since the last frame arrived.
+	used bool
 }
 
 func (l *link) run(opts Options, addr string) {
@@ -165,6 +167,63 @@
 	return l.dialErr
 }
 
+// send writes a frame. Error: ErrClosed.
+func (l *link) send(opts Options, f *Frame) error {
+	opts.stamp(f)
+	if err := l.out.write(f); err != nil {
+		l.fail()
+		return ErrClosed
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = true
+	return nil
+}
+
+// watch closes a link that takes what is sent and brings nothing back: a
+// connection may go silent without an error, and messages without a reply
+// would be lost for good.
+func (l *link) watch(opts Options) {
+	ticker := time.NewTicker(pingEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-ticker.C:
+		}
+		if l.isUsed() && !l.ping(opts) {
+			l.fail()
+			return
+		}
+	}
+}
+
+func (l *link) isUsed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used
+}
+
+// ping reports whether the other side answers.
+func (l *link) ping(opts Options) bool {
+	id, reply := l.expect()
+	defer l.forget(id)
+	if err := l.send(opts, &Frame{ID: id, Kind: kindPing}); err != nil {
+		return false
+	}
+	timer := time.NewTimer(pingTimeout)
+	defer timer.Stop()
+	select {
+	case <-reply:
+		return true
+	case <-timer.C:
+		return false
+	case <-l.done:
+		return true // closed already
+	}
+}
+
 func (l *link) expect() (uint64, chan Frame) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -185,6 +244,7 @@
 func (l *link) deliver(f Frame) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.used = false
 	if reply, ok := l.pending[f.ID]; ok {
 		reply <- f
 		delete(l.pending, f.ID)
@@ -220,11 +280,5 @@
 	if err := l.ready(ctx); err != nil {
 		return err
 	}
-	notice := Frame{Kind: kind, Body: body}
-	c.opts.stamp(&notice)
-	if err := l.out.write(&notice); err != nil {
-		l.fail()
-		return ErrClosed
-	}
-	return nil
+	return l.send(c.opts, &Frame{Kind: kind, Body: body})
 }
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -55,6 +55,14 @@
 const (
 	// handshakeTimeout bounds the exchange of proofs.
 	handshakeTimeout = 2 * time.Second
+	// writeTimeout bounds the write of one frame to a peer that does not read.
+	writeTimeout = 5 * time.Second
+	// pingEvery is how often a link is checked on which nothing came back for
+	// what was sent, pingTimeout how long the answer may take.
+	pingEvery   = time.Second
+	pingTimeout = time.Second
+	// kindPing is answered by every server.
+	kindPing = "peer.ping"
 	// maxConcurrent bounds the requests of one connection that run at once.
 	maxConcurrent = 1024
 )
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
@@ -152,6 +153,9 @@
 }
 
 func (s *Server) run(ctx context.Context, f Frame) (msgpack.RawMessage, error) {
+	if f.Kind == kindPing {
+		return nil, nil
+	}
 	s.mu.Lock()
 	h, ok := s.handlers[f.Kind]
 	s.mu.Unlock()
@@ -180,6 +184,9 @@
 		return err
 	}
 	w.buf = buf
+	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	_, err = w.conn.Write(buf)
 	return err
 }
