rotation: moving callers away is a part of the product; one Sleep

platform/ held the timers of draining and of moving callers. They are in internal/rotation now, with tests in virtual time; clock.Sleep replaces three copies. No change of behaviour; go test of rotation, agent, control and platform passes.

--- a/internal/agent/isolation.go
+++ b/internal/agent/isolation.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/isolation"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
@@ -31,7 +32,7 @@
 }
 
 func (a *Agent) isolationLoop(ctx context.Context) error {
-	for sleep(ctx, isolationCheck) {
+	for clock.Sleep(ctx, isolationCheck) {
 		ago, known := a.renewedAgo()
 		if !known || ago < isolation.Patience {
 			a.noteIsolation(false, ago)
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/statechart"
@@ -83,7 +84,7 @@
 		} else {
 			retry = firstRetry
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
 	}
@@ -208,7 +209,7 @@
 }
 
 func (a *Agent) expiryLoop(ctx context.Context) error {
-	for sleep(ctx, expiryCheck) {
+	for clock.Sleep(ctx, expiryCheck) {
 		a.mu.Lock()
 		now := a.now()
 		if a.state == stateHeld && !a.holder.Valid(now) {
@@ -245,15 +246,3 @@
 	}
 	return nil
 }
-
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -76,7 +77,7 @@
 // probeLoop checks the primaries that fall to this instance.
 func (a *Agent) probeLoop(ctx context.Context) error {
 	running := map[topo.GroupID]chan struct{}{}
-	for sleep(ctx, a.timing.Probe) {
+	for clock.Sleep(ctx, a.timing.Probe) {
 		for _, t := range a.probeTargets() {
 			if done, ok := running[t.group]; ok && !isClosed(done) {
 				continue
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -7,6 +7,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -36,3 +37,15 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits for a time and returns false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -142,7 +142,7 @@
 	go func() {
 		if err := r.c.RemoveDatabase(ctx, g, id); err != nil {
 			klog.Warningf("control: database %s of %s has ended: %v", id, g, err)
-			sleep(ctx, followRetry)
+			clock.Sleep(ctx, followRetry)
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -136,7 +136,7 @@
 	}()
 	if err := c.barrier(ctx); err != nil {
 		klog.Warningf("control: %s: not ready to lead in term %d: %v", status.ID, status.Term, err)
-		sleep(ctx, c.timing.Tick)
+		clock.Sleep(ctx, c.timing.Tick)
 		cancel()
 		<-stopped
 		return
@@ -218,15 +218,3 @@
 		c.opts.Observe(e)
 	}
 }
-
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/control/databases.go
+++ b/internal/control/databases.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		klog.V(1).Infof("control: %s not told to follow %s: %v", d.ID, record.Primary, err)
 		order = followed{}
-		sleep(ctx, followRetry)
+		clock.Sleep(ctx, followRetry)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -129,7 +129,7 @@
 			return
 		}
 		klog.V(1).Infof("control: failover of %s: %v", s.group, err)
-		if !sleep(ctx, s.r.c.timing.Tick) {
+		if !clock.Sleep(ctx, s.r.c.timing.Tick) {
 			return
 		}
 	}
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -76,7 +76,7 @@
 	err := r.c.Switchover(ctx, id, to)
 	if err != nil {
 		klog.Warningf("control: primary of %s is leaving: %v", id, err)
-		sleep(ctx, followRetry)
+		clock.Sleep(ctx, followRetry)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -142,7 +142,7 @@
 // loop calls tick at the interval. The ticks of one loop follow each other; a
 // commit that takes long delays only its own loop.
 func loop(ctx context.Context, interval time.Duration, tick func(context.Context)) error {
-	for sleep(ctx, interval) {
+	for clock.Sleep(ctx, interval) {
 		tick(ctx)
 	}
 	return nil
--- a/internal/control/remove.go
+++ b/internal/control/remove.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
@@ -23,7 +24,7 @@
 		return fmt.Errorf("control: remove %s: %w", id, err)
 	}
 	r.publish(r.ctx, g)
-	if !sleep(ctx, c.timing.Terms().Bound()) {
+	if !clock.Sleep(ctx, c.timing.Terms().Bound()) {
 		return ctx.Err()
 	}
 	if err := c.coveredElsewhere(ctx, g, id); err != nil {
--- a/internal/control/steps.go
+++ b/internal/control/steps.go
@@ -36,7 +36,7 @@
 			s.r.given(key, request.Group, request.Term)
 			return
 		}
-		if !sleep(ctx, stepRetry) {
+		if !clock.Sleep(ctx, stepRetry) {
 			return
 		}
 	}
@@ -83,7 +83,7 @@
 	if c.Target != "" {
 		patience = s.r.c.timing.CatchUp
 	}
-	if sleep(ctx, patience) {
+	if clock.Sleep(ctx, patience) {
 		s.send(ctx, failover.PatienceOver{Attempt: s.attempt})
 	}
 }
@@ -97,7 +97,7 @@
 			return
 		}
 		klog.V(2).Infof("control: failover of %s: %s not fenced: %v", s.group, db.ID, err)
-		if !sleep(ctx, stepRetry) {
+		if !clock.Sleep(ctx, stepRetry) {
 			return
 		}
 	}
@@ -151,7 +151,7 @@
 			return
 		}
 		klog.V(1).Infof("control: failover of %s: %s not promoted: %v", s.group, c.Database.ID, err)
-		if errors.Is(err, dbapi.ErrOutpaced) || !sleep(limit, stepRetry) {
+		if errors.Is(err, dbapi.ErrOutpaced) || !clock.Sleep(limit, stepRetry) {
 			s.send(ctx, failover.PromoteAnswer{Attempt: s.attempt})
 			return
 		}
--- /dev/null
+++ b/internal/rotation/rotation_test.go
@@ -0,0 +1,69 @@
+package rotation
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+type fakeSessions struct {
+	open, closedAll, closedIdle int
+	// leave is how many sessions end at CloseAll.
+	leave int
+}
+
+func (s *fakeSessions) CloseAll()  { s.closedAll++; s.open -= s.leave }
+func (s *fakeSessions) CloseIdle() { s.closedIdle++ }
+func (s *fakeSessions) Count() int { return s.open }
+
+func TestDrainWaitsForTheBalancerThenForSessions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSessions{open: 3, leave: 3}
+		r := New(s)
+		began := time.Now()
+		go func() {
+			time.Sleep(time.Second)
+			require.Zero(t, s.closedAll, "callers would come back")
+			r.Answered(false)
+			time.Sleep(300 * time.Millisecond)
+			r.Answered(false)
+		}()
+		r.Drain(6 * time.Second)
+		require.Equal(t, 1, s.closedAll)
+		require.InDelta(t, 1.3, time.Since(began).Seconds(), 0.1)
+	})
+}
+
+func TestDrainEndsWithinTheGraceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSessions{open: 3, leave: 1}
+		began := time.Now()
+		New(s).Drain(6 * time.Second)
+		require.InDelta(t, 4.5, time.Since(began).Seconds(), 0.1)
+	})
+}
+
+func TestReadyAnswerStartsTheCountAnew(t *testing.T) {
+	r := New(&fakeSessions{})
+	r.Answered(false)
+	r.Answered(true)
+	r.Answered(false)
+	require.False(t, r.Out(time.Second))
+	r.Answered(false)
+	require.True(t, r.Out(0))
+}
+
+func TestCutOffMovesCallersOnce(t *testing.T) {
+	s := &fakeSessions{open: 5}
+	r := New(s)
+	r.Answered(false)
+	r.Answered(false)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	since := time.Unix(1000, 0)
+	require.NoError(t, r.Run(ctx, func() (time.Time, bool) { return since, true }))
+	require.Equal(t, 1, s.closedIdle)
+}
