agent: a run outbids the incarnation of a former one

Cause: the incarnation is the time of day at the start. After the clock has gone back a restarted instance was refused for good.

Change: the refusal tells the highest incarnation; a run that was never registered takes the next one.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -117,6 +118,10 @@
 	leader, hint string
 	// share is the instance's part of what instances share, zero if unknown.
 	share float64
+	// incarnation is that of Self, or a higher one if a former run had a higher
+	// one. It changes only until wasRegistered.
+	incarnation   atomic.Uint64
+	wasRegistered bool
 	// relayAddr is the voter that passes requests on to a leader that can't be
 	// reached, since relaySince; empty while the leader answers.
 	relayAddr  string
@@ -165,6 +170,7 @@
 		heard:     spread.NewAnnouncements(opts.Now),
 	}
 	a.state = a.chart.Initial
+	a.incarnation.Store(opts.Self.Incarnation)
 	a.config = opts.Config
 	if a.config == nil {
 		a.config = a.contracts
@@ -304,7 +310,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	e := a.known.Epochs
-	if !a.holder.Valid(a.now()) || !membership.UsableEpoch(e, a.opts.Self.Key()) {
+	if !a.holder.Valid(a.now()) || !membership.UsableEpoch(e, a.key()) {
 		return membership.View{}, false
 	}
 	return membership.View{Epoch: e.Active.Number, Members: a.known.Lookup(e.Active.Members)}, true
@@ -384,3 +390,12 @@
 	defer a.mu.Unlock()
 	return max(a.holder.Until().Sub(a.now()), 0)
 }
+
+// self identifies this run.
+func (a *Agent) self() ctlstate.Member {
+	m := a.opts.Self
+	m.Incarnation = a.incarnation.Load()
+	return m
+}
+
+func (a *Agent) key() ctlstate.MemberKey { return a.self().Key() }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -182,3 +182,15 @@
 		require.Equal(t, map[sightingKey]bool{{g, 1}: true}, a.evidence.Take())
 	})
 }
+
+// The time of day at the start of a run may lie before that of the former run.
+func TestRunOutbidsAFormerOneOnlyBeforeItsFirstRegistration(t *testing.T) {
+	a := newAgent(t, nil)
+	a.outbid(ctlwire.Answer{Status: ctlwire.Superseded, Highest: 70})
+	require.EqualValues(t, 71, a.key().Incarnation)
+	a.outbid(ctlwire.Answer{Status: ctlwire.Failed, Highest: 90})
+	require.EqualValues(t, 71, a.key().Incarnation)
+	a.wasRegistered = true
+	a.outbid(ctlwire.Answer{Status: ctlwire.Superseded, Highest: 80})
+	require.EqualValues(t, 71, a.key().Incarnation, "a run that was replaced must not replace its successor")
+}
--- a/internal/agent/handlers.go
+++ b/internal/agent/handlers.go
@@ -41,7 +41,7 @@
 	if err := wait(ctx, idle); err != nil {
 		return ctlwire.GivenBack{}, err
 	}
-	return ctlwire.GivenBack{Key: a.opts.Self.Key()}, nil
+	return ctlwire.GivenBack{Key: a.key()}, nil
 }
 
 // onPublish learns changes ahead of the next renewal.
@@ -52,7 +52,7 @@
 		a.notify()
 	}
 	return ctlwire.Published{
-		Key:       a.opts.Self.Key(),
+		Key:       a.key(),
 		Confirmed: membership.ConfirmedEpoch(a.known.Epochs),
 	}, nil
 }
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -119,23 +119,39 @@
 }
 
 func (a *Agent) register(ctx context.Context) error {
-	answer, err := call[ctlwire.Answer](ctx, a, ctlwire.KindRegister, ctlwire.Register{Member: a.opts.Self})
+	answer, err := call[ctlwire.Answer](ctx, a, ctlwire.KindRegister, ctlwire.Register{Member: a.self()})
 	if err != nil {
 		return err
 	}
 	if !a.accepted(answer) {
+		a.outbid(answer)
 		return fmt.Errorf("register: %s: %s", answer.Status, answer.Reason)
 	}
 	a.mu.Lock()
+	a.wasRegistered = true
 	a.step(eventRegistered)
 	a.mu.Unlock()
 	return a.renew(ctx)
 }
 
+// outbid raises the incarnation of a run that was never registered above that
+// of a former run. The incarnation is the time of day at the start, which may
+// have gone back since then. A run that was registered once stays superseded.
+func (a *Agent) outbid(answer ctlwire.Answer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if answer.Status != ctlwire.Superseded || a.wasRegistered || answer.Highest < a.incarnation.Load() {
+		return
+	}
+	klog.InfoS("agent: a former run has a higher incarnation", "instance", a.opts.Self.ID,
+		"incarnation", a.incarnation.Load(), "former", answer.Highest)
+	a.incarnation.Store(answer.Highest + 1)
+}
+
 func (a *Agent) renew(ctx context.Context) error {
 	a.mu.Lock()
 	request := ctlwire.Renew{
-		Key:       a.opts.Self.Key(),
+		Key:       a.key(),
 		Index:     a.known.Index,
 		Revision:  a.config.Revision(),
 		Confirmed: membership.ConfirmedEpoch(a.known.Epochs),
@@ -240,7 +256,7 @@
 			return fmt.Errorf("agent: leave: %w", err)
 		}
 	}
-	_, err := call[ctlwire.Answer](ctx, a, ctlwire.KindLeave, ctlwire.Leave{Key: a.opts.Self.Key()})
+	_, err := call[ctlwire.Answer](ctx, a, ctlwire.KindLeave, ctlwire.Leave{Key: a.key()})
 	if err != nil {
 		return fmt.Errorf("agent: leave: %w", err)
 	}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -148,7 +148,7 @@
 		if len(taken) == 0 {
 			continue
 		}
-		request := ctlwire.Evidence{Key: a.opts.Self.Key()}
+		request := ctlwire.Evidence{Key: a.key()}
 		for k, reachable := range taken {
 			request.Sightings = append(request.Sightings, ctlwire.Sighting{Group: k.group, Term: k.term, Reachable: reachable})
 		}
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -43,7 +43,8 @@
 	_, err := c.propose(ctx, ctlstate.Command{Register: &ctlstate.Register{Member: req.Member}})
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		return ctlwire.Answer{Status: ctlwire.Superseded, Reason: refused.Reason}, nil
+		highest := c.opts.State.HighestIncarnation(req.Member.ID)
+		return ctlwire.Answer{Status: ctlwire.Superseded, Reason: refused.Reason, Highest: highest}, nil
 	}
 	if err != nil {
 		return failed(err), nil
--- a/internal/core/ctlstate/read.go
+++ b/internal/core/ctlstate/read.go
@@ -106,6 +106,14 @@
 	return *r, true
 }
 
+// HighestIncarnation returns the highest incarnation of an instance that was
+// ever registered, zero for none.
+func (m *Machine) HighestIncarnation(id topo.InstanceID) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Highest[id]
+}
+
 // Epochs returns the epochs of the live view.
 func (m *Machine) Epochs() Epochs {
 	m.mu.Lock()
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -52,6 +52,9 @@
 	Status     Status `msgpack:"s"`
 	LeaderAddr string `msgpack:"l,omitempty"`
 	Reason     string `msgpack:"r,omitempty"`
+	// Highest is the highest incarnation of the instance that was registered,
+	// in the answer to a refused registration.
+	Highest uint64 `msgpack:"h,omitempty"`
 }
 
 // Register asks to become a registered member.
