--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -23,9 +23,12 @@
 	// firstAttemptShare is the part of the target after which a read that has
 	// no answer yet is tried at another upstream.
 	firstAttemptShare = 0.6
+	// minAttemptPart of the statement's timeout is the least time for it.
+	minAttemptPart = 3
 )
 
-// seat is where a read is to run.
+// seat is the upstream that was chosen for a statement, and what makes its
+// answer safe.
 type seat struct {
 	upstream topo.Announcement
 	// term is set for a read that only the lease on the primary makes safe.
@@ -69,8 +72,7 @@
 	s.tell(at)
 	if attempt == 1 {
 		var cancel context.CancelFunc
-		limit := time.Duration(firstAttemptShare * float64(w.route.Service.Target))
-		ctx, cancel = context.WithDeadline(ctx, w.arrived.Add(max(limit, w.route.StatementTimeout/3)))
+		ctx, cancel = context.WithDeadline(ctx, w.arrived.Add(firstAttempt(w.route)))
 		defer cancel()
 	}
 	a := s.engine.newAccess(at.upstream, at.term)
@@ -96,6 +98,12 @@
 	return s.answer(result, at, false), false
 }
 
+// firstAttempt is the time for the first upstream that is tried.
+func firstAttempt(r catalog.Route) time.Duration {
+	share := time.Duration(firstAttemptShare * float64(r.Service.Target))
+	return max(share, r.StatementTimeout/minAttemptPart)
+}
+
 // tell notes where the statement runs.
 func (s *Session[C]) tell(at seat) {
 	s.told.Upstream, s.told.Term = at.upstream.ID, at.term
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,8 +1,7 @@
 // Package upstream holds the connections of an entry instance to databases.
 //
 // The layers stand alone: Conn is one connection, Pool and Set are those of
-// connpool, Confirmer is the
-// proof that a second database holds a write.
+// connpool, Confirmer is the proof that a second database holds a write.
 //
 // A connection belongs to one transaction from its begin to its end. It goes
 // back to its pool only when the database has said that no transaction is
