--- a/internal/core/routing/place.go
+++ b/internal/core/routing/place.go
@@ -20,6 +20,8 @@
 	QueueWait time.Duration
 	// Detour is what the way to another availability zone counts for.
 	Detour time.Duration
+	// Primary says that writes depend on the upstream's slots.
+	Primary bool
 }
 
 // minLag is the least lag that is assumed of an upstream which is not known to
@@ -36,6 +38,9 @@
 
 func (o Offer) cost(r Requirement) time.Duration {
 	c := o.Answer + o.QueueWait + o.Detour
+	if o.Primary {
+		c += o.Answer // writes, which no other upstream takes, wait meanwhile
+	}
 	if !topo.Covers(o.Point, r.Point) {
 		c += max(max(o.Lag, minLag)-r.Age, 0)
 	}
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -211,7 +211,7 @@
 			continue
 		}
 		upstreams[u.ID] = u.Announcement
-		offers = append(offers, s.offer(w, u.Announcement))
+		offers = append(offers, s.offer(w, u.Announcement, u.ID == state.Primary))
 	}
 	best, ok := routing.Place(required, offers)
 	if !ok {
@@ -233,9 +233,9 @@
 	return r
 }
 
-func (s *Session[C]) offer(w work, a topo.Announcement) routing.Offer {
+func (s *Session[C]) offer(w work, a topo.Announcement, primary bool) routing.Offer {
 	c := s.engine.groups.Get(w.route.Group).Candidate(a, time.Time{}, w.route.Service.Rank)
-	o := routing.Offer{ID: a.ID, Point: c.Point, Lag: c.Lag, Answer: c.RoundTrip, QueueWait: c.QueueWait}
+	o := routing.Offer{ID: a.ID, Point: c.Point, Lag: c.Lag, Answer: c.RoundTrip, QueueWait: c.QueueWait, Primary: primary}
 	if a.Zone != s.engine.opts.Zone {
 		o.Detour = detour
 	}
