engine: reads that fail are repeated elsewhere, failing upstreams avoided

A single BUSY ended a write or a transaction that had not run. Change: routing.FailureRate, a decaying share of failures judged by outcomes, raises the cost of an upstream; a read that failed is repeated elsewhere within a retry budget; a busy primary is asked again while half of the target is left. Tests: an upstream that fails all reads is left alone after a few and used again later; failed reads stay within the budget; busy refusals (engine, routing). Red before the change.

--- /dev/null
+++ b/internal/core/routing/failures.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failureMemory is the time constant with which outcomes are forgotten. An
+	// upstream that is avoided for its failures is tried again by then.
+	failureMemory = time.Second
+	// failurePrior is the number of successes assumed beforehand, so that a
+	// single failure does not count as a rate.
+	failurePrior = 3.0
+	// maxFailureRate keeps the expected cost of an upstream finite.
+	maxFailureRate = 0.95
+	// repeatCost is what a failed attempt costs beside its answer time: the way
+	// to another upstream and a new wait there.
+	repeatCost = 50 * time.Millisecond
+)
+
+// FailureRate is the share of an upstream's latest statements that it did not
+// serve, judged by their outcomes: what an upstream says of its health may be
+// wrong either way. The zero value knows of no statement.
+type FailureRate struct {
+	served, failed float64
+	at             time.Time
+}
+
+// Add counts the outcome of one statement.
+func (f *FailureRate) Add(served bool, now time.Time) {
+	f.decay(now)
+	if served {
+		f.served++
+		return
+	}
+	f.failed++
+}
+
+func (f *FailureRate) decay(now time.Time) {
+	if elapsed := now.Sub(f.at); elapsed > 0 {
+		kept := math.Exp(-float64(elapsed) / float64(failureMemory))
+		f.served *= kept
+		f.failed *= kept
+		f.at = now
+	}
+}
+
+// Rate returns the share of failures, from 0 to below 1.
+func (f *FailureRate) Rate(now time.Time) float64 {
+	f.decay(now)
+	return min(f.failed/(f.served+f.failed+failurePrior), maxFailureRate)
+}
+
+// withFailures is the expected cost of a statement whose attempts fail at a
+// rate and are repeated.
+func withFailures(cost time.Duration, rate float64) time.Duration {
+	repeats := rate / (1 - rate)
+	return cost + time.Duration(repeats*float64(cost+repeatCost))
+}
--- a/internal/core/routing/place.go
+++ b/internal/core/routing/place.go
@@ -22,6 +22,8 @@
 	Detour time.Duration
 	// Primary says that writes depend on the upstream's slots.
 	Primary bool
+	// FailureRate is the share of the latest statements that it did not serve.
+	FailureRate float64
 }
 
 // minLag is the least lag that is assumed of an upstream which is not known to
@@ -44,7 +46,7 @@
 	if !topo.Covers(o.Point, r.Point) {
 		c += max(max(o.Lag, minLag)-r.Age, 0)
 	}
-	return c
+	return withFailures(c, o.FailureRate)
 }
 
 // Place returns the offer from which the answer is expected first. Of equal
--- a/internal/core/routing/place_test.go
+++ b/internal/core/routing/place_test.go
@@ -41,3 +41,41 @@
 	_, ok := Place(Requirement{}, nil)
 	require.False(t, ok)
 }
+
+func TestPlaceAvoidsFailuresUntilTheyAreForgotten(t *testing.T) {
+	now := time.Unix(0, 0)
+	var f FailureRate
+	require.Zero(t, f.Rate(now))
+	f.Add(false, now)
+	require.Less(t, f.Rate(now), 0.3, "one failure is no rate")
+	for range 20 {
+		f.Add(false, now)
+	}
+	offers := func(at time.Time) []Offer {
+		return []Offer{
+			{ID: "failing", Answer: 20 * time.Millisecond, FailureRate: f.Rate(at)},
+			{ID: "far", Answer: 20 * time.Millisecond, Detour: 12 * time.Millisecond},
+		}
+	}
+	best, _ := Place(Requirement{}, offers(now))
+	require.Equal(t, topo.UpstreamID("far"), best.ID)
+	best, _ = Place(Requirement{}, offers(now.Add(10*time.Second)))
+	require.Equal(t, topo.UpstreamID("failing"), best.ID)
+}
+
+// An upstream that fails a part of its statements is used less, also while its
+// own answers are the fastest.
+func TestFailureRateFollowsOutcomes(t *testing.T) {
+	now := time.Unix(0, 0)
+	var f FailureRate
+	for i := range 400 {
+		now = now.Add(10 * time.Millisecond)
+		f.Add(i%5 >= 2, now)
+	}
+	require.InDelta(t, 0.4, f.Rate(now), 0.05)
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		f.Add(true, now)
+	}
+	require.Less(t, f.Rate(now), 0.05)
+}
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -129,15 +129,22 @@
 	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
+			a.observe(false)
 			a.failed(err)
 		}
 		return Result{}, err
 	}
 	r := results[0]
+	a.observe(r.Code.served())
 	a.answered(sentAt, r.Point)
 	return r, nil
 }
 
+// observe records whether the upstream served a statement.
+func (a *access[C]) observe(served bool) {
+	a.engine.groups.Get(a.upstream.Group).ObserveOutcome(a.upstream.ID, served, clock.Now())
+}
+
 func (a *access[C]) answered(sentAt time.Time, point topo.Point) {
 	now := clock.Now()
 	a.reached()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/pool"
+	"github.com/cicadacove/cicadacove/internal/core/retry"
 	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlview"
@@ -43,6 +45,9 @@
 	groups *groupstate.Set
 	pools  *connpool.Set[*link[C]]
 	nextID atomic.Uint64
+	// retries bounds the reads that are repeated because an upstream ran them
+	// and failed.
+	retries retryBudget
 }
 
 // New returns an engine without sessions.
@@ -50,12 +55,30 @@
 	if opts.Events == nil {
 		opts.Events = noEvents{}
 	}
-	e := &Engine[C]{opts: opts, groups: groupstate.New(admission.Ranked, wholeShare{})}
+	e := &Engine[C]{opts: opts, groups: groupstate.New(admission.Ranked, wholeShare{}), retries: retryBudget{budget: retry.NewBudget()}}
 	e.pools = connpool.NewSet(e.openLink, e.connectionShare)
 	e.handlePeers()
 	return e
 }
 
+// retryBudget is a retry.Budget for several goroutines.
+type retryBudget struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+func (b *retryBudget) attempt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Attempt()
+}
+
+func (b *retryBudget) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Take()
+}
+
 // wholeShare lets the gates use all slots of an upstream: the upstream queues
 // what several instances send at once.
 type wholeShare struct{}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -211,3 +211,79 @@
 	require.Equal(t, outcome.CodeRolledBack, r.Outcome.Code)
 	require.Equal(t, TxNone, r.State)
 }
+
+// A replica that fails whatever it is asked is left alone after a few reads,
+// which are answered by others, and used again once it serves.
+func TestReadsAvoidAnUpstreamThatFails(t *testing.T) {
+	w := newWorld()
+	e := newEngine(w)
+	c := open(t, e, "old")
+	require.Equal(t, outcome.Done, c.read("first").Outcome.Kind, "the first read samples the primary's position")
+	asked := 0
+	w.fail = func(id topo.UpstreamID, st Statement) failure {
+		if id == "b" && st.Verb == Read {
+			asked++
+			return failing
+		}
+		return none
+	}
+	const reads = 50
+	for range reads {
+		require.Equal(t, outcome.Done, c.read("x").Outcome.Kind)
+	}
+	require.Positive(t, asked)
+	require.Less(t, asked, reads/5, "its failures keep reads away")
+	w.fail = nil
+	require.Eventually(t, func() bool {
+		c.read("y")
+		return w.lastRun("y").upstream == "b"
+	}, 10*time.Second, 10*time.Millisecond, "it is tried again")
+}
+
+// Reads that fail everywhere are not repeated without bound.
+func TestFailedReadsAreRepeatedWithinABudget(t *testing.T) {
+	w := newWorld()
+	e := newEngine(w)
+	c := open(t, e, "old")
+	require.Equal(t, outcome.Done, c.read("first").Outcome.Kind)
+	asked := 0
+	w.fail = func(_ topo.UpstreamID, st Statement) failure {
+		if st.Verb == Read {
+			asked++
+			return failing
+		}
+		return none
+	}
+	const reads = 300
+	for range reads {
+		require.Equal(t, outcome.Failed, c.read("x").Outcome.Kind)
+	}
+	require.Less(t, asked, reads*3/2)
+}
+
+// A refusal of a busy upstream means that the statement has not run, so it may
+// be offered again: a single write, and the first statement of a transaction.
+func TestStatementsAreOfferedAgainToABusyPrimary(t *testing.T) {
+	for _, refusals := range []int{1, maxBusyAttempts - 1} {
+		w := newWorld()
+		c := open(t, newEngine(w), "strict")
+		left := refusals
+		w.fail = func(_ topo.UpstreamID, st Statement) failure {
+			if st.Verb != Write || left == 0 {
+				return none
+			}
+			left--
+			return busy
+		}
+		require.Equal(t, outcome.Done, c.write("single").Outcome.Kind)
+		require.Equal(t, 1, w.committed["WRITE single"])
+		left = refusals
+		c.begin(false)
+		require.Equal(t, outcome.Done, c.write("first").Outcome.Kind)
+		require.Equal(t, TxOpen, c.s.State())
+		left = 1
+		require.Equal(t, outcome.CodeRolledBack, c.write("second").Outcome.Code, "the first statement has run")
+		require.Equal(t, outcome.CodeRolledBack, c.commit().Outcome.Code)
+		require.Zero(t, w.committed["WRITE first"])
+	}
+}
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -92,6 +92,9 @@
 	if again, o := rereads(result.Code); again {
 		return refused(o), true
 	}
+	if o := outcomeOf(result); o.Kind == outcome.Failed {
+		return refused(o), s.engine.retries.take()
+	}
 	if at.term != 0 && !s.engine.opts.Control.Holds(at.upstream.Group, at.term) {
 		return refused(outcome.Refused(outcome.CodeNoPrimary, errNoAuthority.Error())), true
 	}
@@ -234,8 +237,12 @@
 }
 
 func (s *Session[C]) offer(w work, a topo.Announcement, primary bool) routing.Offer {
-	c := s.engine.groups.Get(w.route.Group).Candidate(a, time.Time{}, w.route.Service.Rank)
-	o := routing.Offer{ID: a.ID, Point: c.Point, Lag: c.Lag, Answer: c.RoundTrip, QueueWait: c.QueueWait, Primary: primary}
+	g := s.engine.groups.Get(w.route.Group)
+	c := g.Candidate(a, time.Time{}, w.route.Service.Rank)
+	o := routing.Offer{
+		ID: a.ID, Point: c.Point, Lag: c.Lag, Answer: c.RoundTrip, QueueWait: c.QueueWait,
+		Primary: primary, FailureRate: g.FailureRate(a.ID, clock.Now()),
+	}
 	if a.Zone != s.engine.opts.Zone {
 		o.Detour = detour
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -177,6 +177,7 @@
 		}
 		w.def, w.writes = &def, def.Writes
 	}
+	s.engine.retries.attempt()
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(route.StatementTimeout))
 	defer cancel()
 	switch {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -19,6 +19,9 @@
 	at       seat
 	// wrote says that a statement of it may have written.
 	wrote bool
+	// refusedBusy says that its latest statement was refused by an upstream
+	// without a free slot.
+	refusedBusy bool
 }
 
 // begin opens a transaction. The upstream hears of it with the first
@@ -67,25 +70,45 @@
 // continueTransaction runs a statement of the open transaction.
 func (s *Session[C]) continueTransaction(ctx context.Context, w work) Reply {
 	tx := s.tx
-	fresh := tx.access == nil
-	if fresh {
-		if o := s.startTransaction(ctx, w); o.Kind != "" {
-			return s.failWith(o)
-		}
+	if tx.access == nil {
+		return s.firstStatement(ctx, w)
 	}
 	s.tell(tx.at)
-	if !fresh {
-		w.inTransaction = true
-		o, err := tx.access.open(ctx, w.request)
-		if err != nil {
-			o = unusable(err)
-		}
-		if o.Kind != "" {
-			return s.failWith(o)
-		}
+	w.inTransaction = true
+	o, err := tx.access.open(ctx, w.request)
+	if err != nil {
+		o = unusable(err)
+	}
+	if o.Kind != "" {
+		return s.failWith(o)
 	}
 	defer tx.access.releaseSlot()
 	s.told.Waited = time.Since(w.arrived)
+	return s.runStatement(ctx, w)
+}
+
+// firstStatement opens the transaction at an upstream and runs its first
+// statement. While the upstream is too busy for that, nothing has run and the
+// transaction begins again.
+func (s *Session[C]) firstStatement(ctx context.Context, w work) Reply {
+	tx := s.tx
+	for attempt := 1; ; attempt++ {
+		if o := s.startTransaction(ctx, w); o.Kind != "" {
+			return s.failWith(o)
+		}
+		s.tell(tx.at)
+		s.told.Waited = time.Since(w.arrived)
+		r := s.runStatement(ctx, w)
+		tx.access.releaseSlot()
+		if !tx.refusedBusy || !s.engine.retryBusy(ctx, w, attempt) {
+			return r
+		}
+		s.tx, s.failed = &transaction[C]{route: tx.route, readOnly: tx.readOnly}, false
+		tx = s.tx
+	}
+}
+
+func (s *Session[C]) runStatement(ctx context.Context, w work) Reply {
 	if w.statement.Verb == Commit {
 		return s.commit(ctx, w)
 	}
@@ -166,6 +189,7 @@
 	if result.Code == CodeNone {
 		return s.answer(result, tx.at, false)
 	}
+	tx.refusedBusy = result.Code == CodeBusy
 	o := outcomeOf(result)
 	if result.Code.notRun() || o.Kind == outcome.Unknown {
 		o = rolledBack(string(result.Code) + " " + result.Detail)
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -123,6 +123,16 @@
 	return false
 }
 
+// served reports whether an upstream with this code can serve statements: it
+// did, or the statement asked for what its role or its log does not allow.
+func (c Code) served() bool {
+	switch c {
+	case CodeNone, CodeNoStatement, CodeLagging, CodeReadOnly:
+		return true
+	}
+	return false
+}
+
 // Result is an upstream's answer to one statement.
 type Result struct {
 	Rows      []string
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlview"
@@ -14,36 +15,68 @@
 // primary while a failover runs.
 const primaryPatience = 0.2
 
-// writeOnce serves a write outside of transactions. It is sent at most once.
+// writeOnce serves a write outside of transactions. It runs at most once: it is
+// sent again only after the upstream has said that it was too busy to run it.
 func (s *Session[C]) writeOnce(ctx context.Context, w work) Reply {
+	for attempt := 1; ; attempt++ {
+		s.told.Attempts = attempt
+		r, busy := s.writeAtPrimary(ctx, w)
+		if !busy || !s.engine.retryBusy(ctx, w, attempt) {
+			return r
+		}
+	}
+}
+
+// writeAtPrimary sends a write once. busy says that the primary had no room
+// for it.
+func (s *Session[C]) writeAtPrimary(ctx context.Context, w work) (r Reply, busy bool) {
 	auth, ok := s.awaitPrimary(ctx, w)
 	if !ok {
-		return refused(noPrimary())
+		return refused(noPrimary()), false
 	}
 	at := seat{upstream: auth.Primary, term: auth.Term}
 	s.tell(at)
-	s.told.Attempts = 1
 	a := s.engine.newAccess(at.upstream, at.term)
 	defer a.close()
 	o, err := a.open(ctx, w.request)
 	s.told.Waited = time.Since(w.arrived)
 	if err != nil {
-		return refused(unusable(err))
+		return refused(unusable(err)), false
 	}
 	if o.Kind != "" {
-		return refused(o)
+		return refused(o), false
 	}
 	if !s.engine.opts.Control.Holds(w.route.Group, at.term) {
-		return refused(noPrimary())
+		return refused(noPrimary()), false
 	}
 	result, err := s.execute(ctx, a, w, topo.Point{})
 	if err != nil {
-		return refused(lostWrite(ctx, err))
+		return refused(lostWrite(ctx, err)), false
 	}
 	if result.Code == CodeNone {
 		s.committed(w.route.Group, result.Point)
 	}
-	return s.answer(result, at, !result.Code.notRun())
+	return s.answer(result, at, !result.Code.notRun()), result.Code == CodeBusy
+}
+
+const (
+	// maxBusyAttempts bounds how often a statement is offered to an upstream
+	// that is too busy.
+	maxBusyAttempts = 3
+	// busyPause is the longest pause before the next attempt.
+	busyPause = 20 * time.Millisecond
+)
+
+// retryBusy waits before a statement is offered again that an upstream was too
+// busy to run. It reports false when the statement is to be given up.
+func (e *Engine[C]) retryBusy(ctx context.Context, w work, attempt int) bool {
+	if attempt >= maxBusyAttempts || !e.retries.take() {
+		return false
+	}
+	if time.Since(w.arrived)+busyPause > w.route.Service.Target/2 {
+		return false
+	}
+	return clock.Sleep(ctx, time.Duration((1+jitter())/2*float64(busyPause)))
 }
 
 func noPrimary() outcome.Outcome {
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -85,6 +85,7 @@
 			gates:   map[topo.UpstreamID]*gate.Gate{},
 			answer:  map[topo.UpstreamID]time.Duration{},
 			slots:   map[topo.UpstreamID]int{},
+			failure: map[topo.UpstreamID]*routing.FailureRate{},
 		}
 		gs.groups[id] = g
 	}
@@ -113,6 +114,7 @@
 	tracker *routing.Tracker
 	gates   map[topo.UpstreamID]*gate.Gate
 	answer  map[topo.UpstreamID]time.Duration
+	failure map[topo.UpstreamID]*routing.FailureRate
 	// slots is what each upstream has announced, zero before it has.
 	slots map[topo.UpstreamID]int
 	// lastUse is the time of the last request, lastRead and leastAge
@@ -315,6 +317,29 @@
 	g.answer[id] = old + time.Duration(answerWeight*float64(took-old))
 }
 
+// ObserveOutcome records whether an upstream served a statement.
+func (g *Group) ObserveOutcome(id topo.UpstreamID, served bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f, ok := g.failure[id]
+	if !ok {
+		f = &routing.FailureRate{}
+		g.failure[id] = f
+	}
+	f.Add(served, now)
+}
+
+// FailureRate returns the share of an upstream's latest statements that it did
+// not serve.
+func (g *Group) FailureRate(id topo.UpstreamID, now time.Time) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f, ok := g.failure[id]; ok {
+		return f.Rate(now)
+	}
+	return 0
+}
+
 // Candidate describes an upstream to the routing decision. A position learned
 // from an answer outweighs an older one from an announcement.
 func (g *Group) Candidate(a topo.Announcement, heardAt time.Time, rank int) routing.Candidate {
