agent: an instance that is cut off refuses at once; a new leader tells all

(2) After a power loss the leader was there at 46.19 s and instances had their leases between 46.23 and 46.56 s, as each asked again only after a pause. Change: agent.Stranded; sessions and writes are refused at once then. A leader publishes itself when its reign begins, and an instance without a lease renews with it at once. Tests: engine (refusal without waiting, in a synctest bubble), agent (turns to the leader that publishes, stays with its own while it has a lease).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -122,6 +122,8 @@
 	// one. It changes only until wasRegistered.
 	incarnation   atomic.Uint64
 	wasRegistered bool
+	// wake ends the pause before the next renewal.
+	wake chan struct{}
 	// relayAddr is the voter that passes requests on to a leader that can't be
 	// reached, since relaySince; empty while the leader answers.
 	relayAddr  string
@@ -163,6 +165,7 @@
 		voters:    opts.Voters,
 		contracts: &contracts{revision.NewApplier()},
 		changed:   make(chan struct{}),
+		wake:      make(chan struct{}, 1),
 		told:      map[sightingKey]toldSighting{},
 		served:    map[topo.GroupID]time.Time{},
 		doubted:   map[topo.GroupID]bool{},
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -194,3 +194,17 @@
 	a.outbid(ctlwire.Answer{Status: ctlwire.Superseded, Highest: 80})
 	require.EqualValues(t, 71, a.key().Incarnation, "a run that was replaced must not replace its successor")
 }
+
+// A new leader tells all members; one without a lease asks it at once.
+func TestInstanceWithoutALeaseTurnsToTheLeaderThatPublishes(t *testing.T) {
+	a := newAgent(t, nil)
+	_, err := a.onPublish(t.Context(), ctlwire.Publish{Leader: "voter"})
+	require.NoError(t, err)
+	require.Equal(t, []string{"voter"}, a.candidates())
+	require.True(t, a.sleep(t.Context(), time.Hour), "the renewal does not wait")
+	require.NoError(t, a.takeRenewal(time.Now(), renewed(1, record(1, 1, nil))))
+	_, err = a.onPublish(t.Context(), ctlwire.Publish{Leader: "another"})
+	require.NoError(t, err)
+	require.Equal(t, []string{"voter"}, a.candidates(), "with a lease it stays with its leader")
+	require.Empty(t, a.wake)
+}
--- a/internal/agent/handlers.go
+++ b/internal/agent/handlers.go
@@ -51,6 +51,10 @@
 	if a.known.Apply(req.Delta, false) {
 		a.notify()
 	}
+	if req.Leader != "" && !a.holder.Valid(a.now()) {
+		a.leader = req.Leader
+		a.wakeRenewal()
+	}
 	return ctlwire.Published{
 		Key:       a.key(),
 		Confirmed: membership.ConfirmedEpoch(a.known.Epochs),
--- a/internal/agent/isolation.go
+++ b/internal/agent/isolation.go
@@ -31,6 +31,14 @@
 	return a.cutOffSince, !a.cutOffSince.IsZero()
 }
 
+// Stranded reports whether this instance has no lease and, cut off from the
+// others, can't expect one soon.
+func (a *Agent) Stranded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.cutOffSince.IsZero() && !a.holder.Valid(a.now())
+}
+
 func (a *Agent) isolationLoop(ctx context.Context) error {
 	for clock.Sleep(ctx, isolationCheck) {
 		ago, known := a.renewedAgo()
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -84,12 +84,33 @@
 		} else {
 			retry = firstRetry
 		}
-		if !clock.Sleep(ctx, pause) {
+		if !a.sleep(ctx, pause) {
 			return nil
 		}
 	}
 }
 
+// sleep waits for a time or until wakeRenewal. It returns false when ctx ends.
+func (a *Agent) sleep(ctx context.Context, pause time.Duration) bool {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-a.wake:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// wakeRenewal lets the next renewal begin at once.
+func (a *Agent) wakeRenewal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
 // longestRetry bounds the pause between failed renewals: without a lease the
 // instance serves nobody, so it asks more often.
 func (a *Agent) longestRetry() time.Duration {
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -116,6 +116,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	r.ctx = ctx
 	r.setGroup(g)
+	r.publishToAll(ctx, ctlstate.Delta{}) // tells instances without a lease whom to ask
 	g.Go(func() error { return loop(ctx, r.c.timing.Tick, r.tickMembers) })
 	g.Go(func() error { return loop(ctx, databaseTicks*r.c.timing.Tick, r.tickDatabases) })
 	ticker := time.NewTicker(r.c.timing.Tick)
@@ -309,6 +310,10 @@
 		delta.Epochs = &e
 		delta.Members = r.c.opts.State.Members()
 	}
+	r.publishToAll(ctx, delta)
+}
+
+func (r *reign) publishToAll(ctx context.Context, delta ctlstate.Delta) {
 	for _, m := range r.c.opts.State.Members() {
 		if !m.Superseded {
 			go r.publishTo(ctx, m.Member, delta)
@@ -319,7 +324,7 @@
 func (r *reign) publishTo(ctx context.Context, m ctlstate.Member, delta ctlstate.Delta) {
 	ctx, cancel := context.WithTimeout(ctx, r.c.timing.Call)
 	defer cancel()
-	p, err := peer.Call[ctlwire.Published](ctx, r.c.opts.Client, m.PeerAddr, ctlwire.KindPublish, ctlwire.Publish{Delta: delta})
+	p, err := peer.Call[ctlwire.Published](ctx, r.c.opts.Client, m.PeerAddr, ctlwire.KindPublish, ctlwire.Publish{Delta: delta, Leader: r.c.opts.Self})
 	if err != nil {
 		klog.V(2).Infof("control: %s not told: %v", m.ID, err)
 		return
--- a/internal/ctlview/ctlview.go
+++ b/internal/ctlview/ctlview.go
@@ -43,6 +43,8 @@
 	Group(g topo.GroupID) (topo.Group, bool)
 	// Upstreams returns the upstreams of a group that may get new work.
 	Upstreams(g topo.GroupID) []Upstream
+	// Stranded reports whether there is no lease and none can be expected soon.
+	Stranded() bool
 	// Config returns the latest configuration.
 	Config() *contract.Config
 	// View returns the active epoch, if the lease covers it now.
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -156,6 +156,8 @@
 // Publish tells a member at once what has changed.
 type Publish struct {
 	Delta ctlstate.Delta `msgpack:"d"`
+	// Leader is the peer address of the controller that publishes.
+	Leader string `msgpack:"l,omitempty"`
 }
 
 // Published confirms an epoch.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -109,6 +109,9 @@
 	if _, ok := c.Routes[database]; !ok {
 		return nil, noDatabase(database)
 	}
+	if e.opts.Control.Stranded() {
+		return nil, outcome.Refused(outcome.CodeNoPrimary, "this entry instance is cut off from the others")
+	}
 	return newSession(e, database), outcome.Outcome{}
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -287,3 +288,20 @@
 		require.Zero(t, w.committed["WRITE first"])
 	}
 }
+
+// An instance that is cut off refuses at once, so that callers go elsewhere
+// while there is time.
+func TestStrandedInstanceRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		e := newEngine(w)
+		c := open(t, e, "strict")
+		w.leased, w.stranded = false, true
+		began := time.Now()
+		require.Equal(t, outcome.CodeNoPrimary, c.write("w").Outcome.Code)
+		require.Zero(t, time.Since(began))
+		s, refused := e.Open("strict")
+		require.Nil(t, s)
+		require.Equal(t, outcome.CodeNoPrimary, refused.Code)
+	})
+}
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -36,6 +36,7 @@
 	primary  topo.UpstreamID
 	term     topo.Term
 	leased   bool
+	stranded bool
 	position topo.Position
 	applied  map[topo.UpstreamID]topo.Position
 	conns    int
@@ -258,6 +259,12 @@
 	return list
 }
 
+func (w *world) Stranded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stranded
+}
+
 func (w *world) Config() *contract.Config                    { return &contract.Config{} }
 func (w *world) View() (ctlview.View, bool)                  { return ctlview.View{}, false }
 func (w *world) PeerAddr(topo.InstanceID) (string, bool)     { return "", false }
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -106,6 +106,9 @@
 		if auth, ok := ctl.Authority(w.route.Group); ok {
 			return auth, true
 		}
+		if ctl.Stranded() {
+			return ctlview.Authority{}, false
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
