--- a/internal/core/routing/failures.go
+++ b/internal/core/routing/failures.go
@@ -14,6 +14,10 @@
 	failurePrior = 3.0
 	// maxFailureRate keeps the expected cost of an upstream finite.
 	maxFailureRate = 0.95
+	// failingAbove and servingBelow are the rates at which an upstream begins
+	// and ceases to count as failing.
+	failingAbove = 0.5
+	servingBelow = 0.1
 	// repeatCost is what a failed attempt costs beside its answer time: the way
 	// to another upstream and a new wait there.
 	repeatCost = 50 * time.Millisecond
@@ -25,18 +29,32 @@
 type FailureRate struct {
 	served, failed float64
 	at             time.Time
+	failing        bool
 }
 
-// Add counts the outcome of one statement.
-func (f *FailureRate) Add(served bool, now time.Time) {
+// Add counts the outcome of one statement. changed tells that Failing has
+// changed with it.
+func (f *FailureRate) Add(served bool, now time.Time) (changed bool) {
 	f.decay(now)
 	if served {
 		f.served++
-		return
+	} else {
+		f.failed++
 	}
-	f.failed++
+	before := f.failing
+	switch rate := f.Rate(now); {
+	case rate > failingAbove:
+		f.failing = true
+	case rate < servingBelow:
+		f.failing = false
+	}
+	return f.failing != before
 }
 
+// Failing reports whether the upstream fails most statements. It is told in
+// logs; decisions go by the rate.
+func (f *FailureRate) Failing() bool { return f.failing }
+
 func (f *FailureRate) decay(now time.Time) {
 	if elapsed := now.Sub(f.at); elapsed > 0 {
 		kept := math.Exp(-float64(elapsed) / float64(failureMemory))
--- a/internal/core/routing/place_test.go
+++ b/internal/core/routing/place_test.go
@@ -73,9 +73,15 @@
 		f.Add(i%5 >= 2, now)
 	}
 	require.InDelta(t, 0.4, f.Rate(now), 0.05)
-	for range 300 {
+	require.False(t, f.Failing())
+	for range 100 {
+		f.Add(false, now)
+	}
+	require.True(t, f.Failing())
+	for range 400 {
 		now = now.Add(10 * time.Millisecond)
 		f.Add(true, now)
 	}
 	require.Less(t, f.Rate(now), 0.05)
+	require.False(t, f.Failing())
 }
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -149,7 +149,10 @@
 
 // observe records whether the upstream served a statement.
 func (a *access[C]) observe(served bool) {
-	a.engine.groups.Get(a.upstream.Group).ObserveOutcome(a.upstream.ID, served, clock.Now())
+	rate, failing, changed := a.engine.groups.Get(a.upstream.Group).ObserveOutcome(a.upstream.ID, served, clock.Now())
+	if changed {
+		a.engine.opts.Events.UpstreamFailing(a.upstream.ID, rate, failing)
+	}
 }
 
 func (a *access[C]) answered(sentAt time.Time, point topo.Point) {
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -25,6 +25,9 @@
 	// Config is the version of the configuration in force.
 	Config   uint64
 	Attempts int
+	// Held is how long the statement was held back for more urgent work, and
+	// UpstreamWait the mean wait inside the upstream that decided on it last.
+	Held, UpstreamWait time.Duration
 	// Waited is the time until the statement had a slot and a connection.
 	Waited time.Duration
 	Took   time.Duration
@@ -37,6 +40,9 @@
 	// error, UpstreamBack that it has closed again.
 	UpstreamLost(topo.UpstreamID, error)
 	UpstreamBack(topo.UpstreamID)
+	// UpstreamFailing tells that an upstream has begun or ceased to fail most of
+	// the statements that it answers.
+	UpstreamFailing(id topo.UpstreamID, rate float64, failing bool)
 }
 
 type noEvents struct{}
@@ -44,3 +50,5 @@
 func (noEvents) Ended(Ended)                         {}
 func (noEvents) UpstreamLost(topo.UpstreamID, error) {}
 func (noEvents) UpstreamBack(topo.UpstreamID)        {}
+
+func (noEvents) UpstreamFailing(topo.UpstreamID, float64, bool) {}
--- a/internal/engine/hold.go
+++ b/internal/engine/hold.go
@@ -52,9 +52,12 @@
 // work. It reports false when the upstream may be asked now; otherwise the
 // statement is to be placed anew, or is refused with the outcome.
 func (s *Session[C]) awaitRoom(ctx context.Context, w work, a topo.Announcement) (o outcome.Outcome, held bool) {
+	began := time.Now()
 	if !s.engine.holds(w, a) {
 		return outcome.Outcome{}, false
 	}
+	s.told.UpstreamWait = s.engine.groups.Get(a.Group).QueueWait(a.ID, clock.Now())
+	defer func() { s.told.Held += time.Since(began) }()
 	limit := time.Duration(holdShare * float64(w.route.Service.Target))
 	if time.Since(w.arrived) > limit {
 		return outcome.RefusedFor(outcome.CodeOverloaded, "the upstream's queue leaves room for more urgent work only", limit), true
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -334,6 +334,13 @@
 	return g.queue(id).Hold(h, now)
 }
 
+// QueueWait returns the mean wait of statements inside an upstream.
+func (g *Group) QueueWait(id topo.UpstreamID, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue(id).Wait(now)
+}
+
 // queue needs the lock.
 func (g *Group) queue(id topo.UpstreamID) *admission.Congestion {
 	q, ok := g.queues[id]
@@ -344,8 +351,9 @@
 	return q
 }
 
-// ObserveOutcome records whether an upstream served a statement.
-func (g *Group) ObserveOutcome(id topo.UpstreamID, served bool, now time.Time) {
+// ObserveOutcome records whether an upstream served a statement. changed tells
+// that it has begun or ceased to fail most of them.
+func (g *Group) ObserveOutcome(id topo.UpstreamID, served bool, now time.Time) (rate float64, failing, changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f, ok := g.failure[id]
@@ -353,7 +361,8 @@
 		f = &routing.FailureRate{}
 		g.failure[id] = f
 	}
-	f.Add(served, now)
+	changed = f.Add(served, now)
+	return f.Rate(now), f.Failing(), changed
 }
 
 // FailureRate returns the share of an upstream's latest statements that it did
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -50,7 +50,8 @@
 		"retry_after_ms", e.Outcome.RetryAfter.Milliseconds(),
 		"group", string(e.Route.Group), "upstream", string(e.Upstream), "term", uint64(e.Term),
 		"required", e.Required.String(), "required_age_ms", e.RequiredAge.Milliseconds(),
-		"config", e.Config, "attempts", e.Attempts, "waited_ms", milliseconds(e.Waited), "took_ms", milliseconds(e.Took),
+		"config", e.Config, "attempts", e.Attempts, "held_ms", milliseconds(e.Held),
+		"upstream_wait_ms", milliseconds(e.UpstreamWait), "waited_ms", milliseconds(e.Waited), "took_ms", milliseconds(e.Took),
 	}
 }
 
@@ -97,6 +98,11 @@
 	}
 }
 
+// UpstreamFailing implements engine.Events.
+func (o *Observer) UpstreamFailing(id topo.UpstreamID, rate float64, failing bool) {
+	o.event("engine: failures of an upstream", "upstream", string(id), "failing", failing, "rate", rate)
+}
+
 // Entry is what the gauges of an entry instance are read from.
 type Entry struct {
 	Agent    *agent.Agent
