--- a/internal/core/admission/congestion.go
+++ b/internal/core/admission/congestion.go
@@ -27,8 +27,9 @@
 	// statement confirms, so that work which is held back is tried again.
 	waitMemory = 500 * time.Millisecond
 
-	// holdShare is the part of the urgent services' target by which work of a
-	// rank may delay them: less urgent work is held back first.
+	// holdShareLeast and holdShareMiddle are the parts of the urgent services'
+	// target by which work of the last rank and of those between may delay them:
+	// the least urgent work is held back first.
 	holdShareLeast  = 0.15
 	holdShareMiddle = 1.2
 	// releaseShare is the part of the upstream's slots that work takes which
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -24,9 +24,11 @@
 	term   topo.Term
 	member *connpool.Member[*link[C]]
 	// work tells how long the statements usually take.
-	work   admission.WorkKey
-	permit *gate.Permit
-	link   *link[C]
+	work admission.WorkKey
+	// permit holds the slot of the statement under way, first that of the first
+	// statement, which counts for the connection until that is given back.
+	permit, first *gate.Permit
+	link          *link[C]
 }
 
 func (e *Engine[C]) newAccess(a topo.Announcement, term topo.Term, r catalog.Route) *access[C] {
@@ -61,13 +63,14 @@
 	if a.link != nil {
 		return outcome.Outcome{}, nil
 	}
+	a.first = permit
 	if !a.member.Allow(time.Now()) {
-		a.releaseSlot()
+		a.close()
 		return outcome.Outcome{}, errBusy
 	}
 	l, err := a.acquireLink(ctx)
 	if err != nil {
-		a.releaseSlot()
+		a.close()
 		a.connectFailed(ctx, err)
 		return outcome.Outcome{}, err
 	}
@@ -185,7 +188,6 @@
 func (a *access[C]) releaseSlot() {
 	if a.permit != nil {
 		a.permit.Release()
-		a.permit.End()
 		a.permit = nil
 	}
 }
@@ -194,25 +196,33 @@
 // open is rolled back first, without keeping the caller waiting.
 func (a *access[C]) close() {
 	a.releaseSlot()
-	l := a.link
-	a.link = nil
-	switch {
-	case l == nil:
-	case l.inTransaction && !l.broken:
-		go a.rollBack(l)
-	default:
+	l, first := a.link, a.first
+	a.link, a.first = nil, nil
+	if l != nil && l.inTransaction && !l.broken {
+		go a.rollBack(l, first)
+		return
+	}
+	a.giveBack(l, first)
+}
+
+// giveBack returns the connection, if there is one, to its pool.
+func (a *access[C]) giveBack(l *link[C], first *gate.Permit) {
+	if l != nil {
 		a.member.Release(l)
 	}
+	if first != nil {
+		first.End()
+	}
 }
 
 // rollbackTimeout bounds the wait for the answer to a rollback.
 const rollbackTimeout = time.Second
 
-func (a *access[C]) rollBack(l *link[C]) {
+func (a *access[C]) rollBack(l *link[C], first *gate.Permit) {
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 	defer cancel()
 	if _, err := l.run(ctx, Statement{Verb: Rollback}); err != nil {
 		a.failed(err)
 	}
-	a.member.Release(l)
+	a.giveBack(l, first)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -150,10 +150,14 @@
 }
 
 func (e *Engine[C]) tend(ctx context.Context) {
-	e.pools.Each(func(_ topo.UpstreamID, m *connpool.Member[*link[C]]) {
+	e.pools.Each(func(id topo.UpstreamID, m *connpool.Member[*link[C]]) {
 		m.Reap(time.Now(), idleLink)
 		m.Retry(time.Now())
-		m.SetLimit(e.connectionShare(m.Upstream()))
+		limit := e.connectionShare(m.Upstream())
+		m.SetLimit(limit)
+		if gt, used := e.groups.GateOf(id); used {
+			gt.SetConnections(limit) // by rank; the pool hands out in order of arrival
+		}
 	})
 	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
 		if !g.StartSampleAfter(sampleAt, clock.Now()) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,12 +1,15 @@
 package engine
 
 import (
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
@@ -305,3 +308,35 @@
 		require.Equal(t, outcome.CodeNoPrimary, refused.Code)
 	})
 }
+
+// With fewer connections than requests, the rank decides who gets the next
+// one, not the order of arrival.
+func TestScarceConnectionsGoToUrgentWorkFirst(t *testing.T) {
+	w := newWorld()
+	e := newEngine(w)
+	e.opts.Share = func() float64 { return 0 } // one connection
+	holder := open(t, e, "strict")
+	holder.begin(false)
+	holder.write("first")
+	e.tend(t.Context())
+	gt := e.groups.Get(group).Gate(w.announcement(w.primary))
+	var reads sync.WaitGroup
+	for _, database := range []string{"least urgent", "strict"} {
+		c := open(t, e, database)
+		reads.Go(func() { c.read(database) })
+		require.Eventually(t, func() bool {
+			l := gt.Load()
+			return l.Queued[contract.Ranks] == 1 && (database != "strict" || l.Queued[contract.RankUrgent] == 1)
+		}, 10*time.Second, time.Millisecond)
+	}
+	require.Equal(t, outcome.Done, holder.commit().Outcome.Kind)
+	reads.Wait()
+	var order []string
+	for _, r := range w.runs {
+		if strings.HasPrefix(r.text, "READ ") {
+			order = append(order, r.text)
+		}
+	}
+	require.Equal(t, []string{"READ strict", "READ least urgent"}, order)
+	require.Equal(t, 1, w.conns)
+}
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -286,7 +286,11 @@
 			Service: contract.Service{Name: name, Rank: 1, Target: time.Second, MaxAge: time.Minute},
 		}
 	}
-	routes := []catalog.Route{route("strict", catalog.Primary), route("own", catalog.OwnWrites), route("old", catalog.Bounded)}
+	least := route("least urgent", catalog.Primary)
+	least.Service.Rank = contract.Ranks
+	routes := []catalog.Route{
+		route("strict", catalog.Primary), route("own", catalog.OwnWrites), route("old", catalog.Bounded), least,
+	}
 	c, err := catalog.Build(1, routes, []catalog.Group{{ID: group, Connections: 40, Durability: 1}}, time.Second)
 	if err != nil {
 		panic(err)
--- a/internal/engine/hold.go
+++ b/internal/engine/hold.go
@@ -14,8 +14,8 @@
 const (
 	// holdPoll is the longest pause before work that is held looks again.
 	holdPoll = 25 * time.Millisecond
-	// holdShare is the part of its target after which held work is refused.
-	holdShare = 0.7
+	// maxHeld is the part of its target after which held work is refused.
+	maxHeld = 0.7
 )
 
 // workTimes is an admission.Work for several goroutines.
@@ -53,14 +53,16 @@
 // statement is to be placed anew, or is refused with the outcome.
 func (s *Session[C]) awaitRoom(ctx context.Context, w work, a topo.Announcement) (o outcome.Outcome, held bool) {
 	began := time.Now()
-	if !s.engine.holds(w, a) {
+	held, wait := s.engine.holds(w, a)
+	if !held {
 		return outcome.Outcome{}, false
 	}
-	s.told.UpstreamWait = s.engine.groups.Get(a.Group).QueueWait(a.ID, clock.Now())
+	s.told.UpstreamWait = wait
 	defer func() { s.told.Held += time.Since(began) }()
-	limit := time.Duration(holdShare * float64(w.route.Service.Target))
-	if time.Since(w.arrived) > limit {
-		return outcome.RefusedFor(outcome.CodeOverloaded, "the upstream's queue leaves room for more urgent work only", limit), true
+	limit := maxHeld * float64(w.route.Service.Target)
+	if time.Since(w.arrived) > time.Duration(limit) {
+		retryAfter := time.Duration((jitter() + 0.5) * limit) // spread, so that callers do not return together
+		return outcome.RefusedFor(outcome.CodeOverloaded, "the upstream's queue leaves room for more urgent work only", retryAfter), true
 	}
 	if !clock.Sleep(ctx, time.Duration((1+jitter())/2*float64(holdPoll))) {
 		return outcome.Refused(outcome.CodeTimeout, "the caller's limit ended while the request was held back"), true
@@ -97,10 +99,12 @@
 	}
 }
 
-func (e *Engine[C]) holds(w work, a topo.Announcement) bool {
+// holds reports whether work waits for an upstream, and the mean wait inside
+// it that says so.
+func (e *Engine[C]) holds(w work, a topo.Announcement) (held bool, wait time.Duration) {
 	c := e.opts.Catalog()
 	if c == nil {
-		return false
+		return false, 0
 	}
 	h := admission.Hold{
 		Rank: w.route.Service.Rank, UrgentTarget: c.UrgentTarget(w.route.Group, w.route.Service.Rank),
--- /dev/null
+++ b/internal/groupstate/upstream.go
@@ -0,0 +1,143 @@
+package groupstate
+
+import (
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/admission"
+	"github.com/cicadacove/cicadacove/internal/core/routing"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/gate"
+)
+
+// answerWeight is the weight of a new observation in the moving average of an
+// upstream's answer time.
+const answerWeight = 0.1
+
+// upstream is what this instance has learned of one upstream.
+type upstream struct {
+	// gate is nil before its first use.
+	gate *gate.Gate
+	// slots is what the upstream has announced, zero before it has.
+	slots int
+	// answer is the mean answer time, zero before the first answer.
+	answer   time.Duration
+	failures routing.FailureRate
+	queue    admission.Congestion
+}
+
+// upstream needs the lock.
+func (g *Group) upstream(id topo.UpstreamID) *upstream {
+	u, ok := g.upstreams[id]
+	if !ok {
+		u = &upstream{}
+		g.upstreams[id] = u
+	}
+	return u
+}
+
+// Gate returns the gate to an upstream, made at its first use.
+func (g *Group) Gate(a topo.Announcement) *gate.Gate {
+	g.mu.Lock()
+	u := g.upstream(a.ID)
+	made := u.gate == nil
+	if made {
+		u.gate = gate.New(gate.Options{
+			Slots: max(a.Slots, 1), Policy: g.set.admission,
+			Pressure: func() { g.set.shares.Poke(a.ID) },
+		})
+	}
+	gt := u.gate
+	announced := !made && a.Slots > 0 && u.slots != a.Slots
+	u.slots = max(a.Slots, u.slots)
+	g.mu.Unlock()
+	if announced && g.set.shares.Slots(a.ID) == 0 {
+		gt.SetSlots(a.Slots)
+	}
+	if made {
+		g.set.noteGate(a.ID, gt)
+		g.set.shares.Use(a)
+		if n := g.set.shares.Slots(a.ID); n > 0 {
+			gt.SetShare(n, g.set.shares.Average(a.ID))
+		}
+	}
+	return gt
+}
+
+// AllGates returns the gates that were made.
+func (g *Group) AllGates() map[topo.UpstreamID]*gate.Gate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gates := make(map[topo.UpstreamID]*gate.Gate, len(g.upstreams))
+	for id, u := range g.upstreams {
+		if u.gate != nil {
+			gates[id] = u.gate
+		}
+	}
+	return gates
+}
+
+// ObserveAnswer records how long an upstream took to answer.
+func (g *Group) ObserveAnswer(id topo.UpstreamID, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.upstream(id)
+	if u.answer == 0 {
+		u.answer = took
+		return
+	}
+	u.answer += time.Duration(answerWeight * float64(took-u.answer))
+}
+
+// ObserveTime records how long an upstream took for a statement that takes
+// least without a queue.
+func (g *Group) ObserveTime(id topo.UpstreamID, took, least time.Duration, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.upstream(id).queue.Observe(took, least, now)
+}
+
+// Hold reports whether work for an upstream is to wait at this instance, and
+// the mean wait inside the upstream that says so.
+func (g *Group) Hold(id topo.UpstreamID, h admission.Hold, now time.Time) (held bool, wait time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := &g.upstream(id).queue
+	return q.Hold(h, now), q.Wait(now)
+}
+
+// ObserveOutcome records whether an upstream served a statement. changed tells
+// that it has begun or ceased to fail most of them.
+func (g *Group) ObserveOutcome(id topo.UpstreamID, served bool, now time.Time) (rate float64, failing, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := &g.upstream(id).failures
+	changed = f.Add(served, now)
+	return f.Rate(now), f.Failing(), changed
+}
+
+// FailureRate returns the share of an upstream's latest statements that it did
+// not serve.
+func (g *Group) FailureRate(id topo.UpstreamID, now time.Time) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.upstream(id).failures.Rate(now)
+}
+
+// Candidate describes an upstream to the routing decision. A position learned
+// from an answer outweighs an older one from an announcement.
+func (g *Group) Candidate(a topo.Announcement, heardAt time.Time, rank int) routing.Candidate {
+	gt := g.Gate(a)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, at := g.tracker.Point(a.ID); heardAt.After(at) {
+		g.tracker.ObserveReplica(a.ID, a.Point, heardAt)
+	}
+	point, _ := g.tracker.Point(a.ID)
+	return routing.Candidate{
+		ID:        a.ID,
+		Point:     point,
+		Lag:       g.tracker.Lag(a.ID),
+		RoundTrip: g.upstream(a.ID).answer,
+		QueueWait: gt.Load().Wait[rank],
+	}
+}
