--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -340,3 +341,37 @@
 	require.Equal(t, []string{"READ strict", "READ least urgent"}, order)
 	require.Equal(t, 1, w.conns)
 }
+
+// heldEvents keeps what is told of statements.
+type heldEvents struct {
+	noEvents
+	ended []Ended
+}
+
+func (h *heldEvents) Ended(e Ended) { h.ended = append(h.ended, e) }
+
+// While an upstream's queue delays urgent work, the least urgent work waits at
+// the instance. It is refused while its caller can still go elsewhere, and the
+// log tells for how long it was held and why.
+func TestLeastUrgentWorkIsHeldBackThenRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		e := newEngine(w)
+		events := &heldEvents{}
+		e.opts.Events = events
+		const statements, took = 30, 500 * time.Millisecond
+		for range statements {
+			e.groups.Get(group).ObserveTime(w.primary, took, 0, clock.Now())
+		}
+		began := time.Now()
+		r := open(t, e, "least urgent").read("low")
+		require.Equal(t, outcome.CodeOverloaded, r.Outcome.Code)
+		require.Positive(t, r.Outcome.RetryAfter)
+		require.Less(t, time.Since(began), time.Second, "its target")
+		require.Empty(t, w.lastRun("low").id, "it has not run")
+		require.Equal(t, time.Since(began), events.ended[0].Held)
+		require.Positive(t, events.ended[0].UpstreamWait)
+		require.Equal(t, outcome.Done, open(t, e, "strict").read("urgent").Outcome.Kind)
+		require.Zero(t, events.ended[1].Held)
+	})
+}
