isolation: back to the rule that one silent instance means cut off

Change: the former rule and the former choice of witnesses, with their tests. Next: a single silent zone should count once renewals fail for longer than an election takes.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -208,13 +208,3 @@
 	require.Equal(t, []string{"voter"}, a.candidates(), "with a lease it stays with its leader")
 	require.Empty(t, a.wake)
 }
-
-func TestWitnessesComeFromTheOtherZones(t *testing.T) {
-	member := func(id, zone string) ctlstate.Member {
-		return ctlstate.Member{ID: topo.InstanceID(id), Zone: topo.Zone(zone)}
-	}
-	self := member("a1", "a")
-	all := []ctlstate.Member{self, member("a2", "a"), member("b1", "b"), member("b2", "b"), member("b3", "b"), member("c1", "c")}
-	require.Equal(t, []ctlstate.Member{member("b1", "b"), member("b2", "b"), member("b3", "b"), member("c1", "c")}, witnesses(all, self))
-	require.Equal(t, []ctlstate.Member{member("a2", "a")}, witnesses(all[:2], self), "there is no other zone")
-}
--- a/internal/agent/isolation.go
+++ b/internal/agent/isolation.go
@@ -11,7 +11,6 @@
 	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/isolation"
-	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
@@ -20,9 +19,8 @@
 	// isolationCheck is the interval at which a failing renewal is looked
 	// into, and bounds the wait for the others' answers.
 	isolationCheck = 250 * time.Millisecond
-	// isolationWitnesses is how many instances of each other availability zone
-	// are asked.
-	isolationWitnesses = 6
+	// isolationWitnesses is how many other instances are asked.
+	isolationWitnesses = 4
 )
 
 // CutOff reports whether this instance is cut off from the others, and since
@@ -76,19 +74,22 @@
 	klog.InfoS("agent: cut off from the others", "instance", a.opts.Self.ID, "cut_off", cutOff, "renewed_ms_ago", ago.Milliseconds())
 }
 
-// askWitnesses asks instances of the other availability zones.
+// askWitnesses asks other instances, first those of other availability zones.
 func (a *Agent) askWitnesses(ctx context.Context) []isolation.Report {
 	ctx, cancel := context.WithTimeout(ctx, isolationCheck)
 	defer cancel()
-	others := witnesses(a.Members(), a.opts.Self)
+	others := slices.DeleteFunc(a.Members(), func(m ctlstate.Member) bool { return m.ID == a.opts.Self.ID })
+	slices.SortStableFunc(others, func(x, y ctlstate.Member) int {
+		return a.zoneOrder(x) - a.zoneOrder(y)
+	})
+	others = others[:min(len(others), isolationWitnesses)]
 	reports := make([]isolation.Report, len(others))
 	var wg sync.WaitGroup
 	for i, m := range others {
-		reports[i].Zone = m.Zone
 		wg.Go(func() {
 			answer, err := peer.Call[ctlwire.Standing](ctx, a.opts.Client, m.PeerAddr, ctlwire.KindStanding, ctlwire.Empty{})
 			if err == nil {
-				reports[i] = isolation.Report{Zone: m.Zone, Reached: true, Renewed: answer.Leased, RenewedAgo: answer.RenewedAgo}
+				reports[i] = isolation.Report{Reached: true, Renewed: answer.Leased, RenewedAgo: answer.RenewedAgo}
 			}
 		})
 	}
@@ -96,19 +97,12 @@
 	return reports
 }
 
-// witnesses returns some instances of each other availability zone, or of the
-// own one where it is the only one.
-func witnesses(members []ctlstate.Member, self ctlstate.Member) []ctlstate.Member {
-	others := slices.DeleteFunc(slices.Clone(members), func(m ctlstate.Member) bool { return m.ID == self.ID })
-	elsewhere := slices.DeleteFunc(slices.Clone(others), func(m ctlstate.Member) bool { return m.Zone == self.Zone })
-	if len(elsewhere) > 0 {
-		others = elsewhere
+// zoneOrder puts other availability zones before the own one.
+func (a *Agent) zoneOrder(m ctlstate.Member) int {
+	if m.Zone == a.opts.Self.Zone {
+		return 1
 	}
-	asked := map[topo.Zone]int{}
-	return slices.DeleteFunc(others, func(m ctlstate.Member) bool {
-		asked[m.Zone]++
-		return asked[m.Zone] > isolationWitnesses
-	})
+	return 0
 }
 
 // onStanding tells another instance how this one's lease stands.
