control, agent: log and measure how long a database has been leaving

Nothing on the leader or on an entry instance told since when a primary in use was leaving, whether the leader knew a successor, or when an instance learned of it; a configuration that an instance could not apply was logged at verbosity 2 only. The registry keeps the time since which an incarnation leaves and passes it on as an age; nothing is decided by it yet.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -51,7 +51,8 @@
 	if outcome == membership.Updated {
 		a.notify()
 	}
-	a.outgoing.Add(membership.KnownUpstream{Announcement: an, ReceivedAt: now}, outcome == membership.Updated)
+	k, _ := a.registry.Get(an.Group, an.ID)
+	a.outgoing.Add(k, outcome == membership.Updated)
 	return nil
 }
 
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -209,6 +209,9 @@
 	if len(renewed.Config) > 0 {
 		err = a.config.Apply(renewed.Config)
 	}
+	if err != nil {
+		klog.ErrorS(err, "agent: configuration can't be applied", "instance", a.opts.Self.ID, "revision", a.config.Revision())
+	}
 	a.share = renewed.Share
 	if len(renewed.Voters) > 0 {
 		a.voters = renewed.Voters
--- a/internal/agent/upstream_tracker.go
+++ b/internal/agent/upstream_tracker.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/cicadacove/cicadacove/internal/charts"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -59,6 +61,10 @@
 		to, actions, _ := t.chart.Next(state, eventOf(k, r.Expired(k, now)))
 		states[key] = to
 		changed = changed || len(actions) > 0
+		if known && to != state {
+			klog.InfoS("agent: upstream state changed", "group", k.Group, "upstream", k.ID, "state", to, "former", state,
+				"leaving_ms", k.LeavingFor(now).Milliseconds(), "age_ms", now.Sub(k.ReceivedAt).Milliseconds())
+		}
 	}
 	t.states = states
 	return changed
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -22,7 +22,8 @@
 	now := clock.Now()
 	outcome := c.registry.Receive(a, now)
 	if outcome.Accepted() {
-		c.outgoing.Add(membership.KnownUpstream{Announcement: a, ReceivedAt: now}, outcome == membership.Updated)
+		k, _ := c.registry.Get(a.Group, a.ID)
+		c.outgoing.Add(k, outcome == membership.Updated)
 	}
 	return outcome
 }
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -62,6 +62,18 @@
 	if !announced || !primary.Leaving || l.registry.Expired(primary, now) || l.switchingOver[record.ID] {
 		return "", false
 	}
+	to, ok := l.selectSuccessor(record, now)
+	if !ok && !l.withoutSuccessor[record.ID] {
+		klog.InfoS("control: leaving primary has no successor", "group", record.ID, "upstream", record.Primary,
+			"leaving_ms", primary.LeavingFor(now).Milliseconds(), "databases", len(record.Databases))
+	}
+	l.withoutSuccessor[record.ID] = !ok
+	return to, ok
+}
+
+// selectSuccessor returns the database to which a switchover is most likely to
+// succeed. The caller holds l.mu.
+func (l *leadership) selectSuccessor(record ctlstate.GroupRecord, now time.Time) (topo.UpstreamID, bool) {
 	var candidates []membership.KnownUpstream
 	for _, k := range l.registry.Usable(record.ID, now) {
 		if _, accepted := record.Database(k.ID); accepted && k.ID != record.Primary {
@@ -71,6 +83,25 @@
 	return membership.Successor(candidates, l.failedTargets[record.ID], now.Add(-l.c.timing.CandidateMaxAge))
 }
 
+// PrimaryLeaving returns the longest time for which a primary in use has been
+// leaving, zero if none is or this voter is not the leader.
+func (c *Controller) PrimaryLeaving() time.Duration {
+	l := c.leadership()
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	longest := time.Duration(0)
+	for _, id := range c.opts.State.Groups() {
+		record, _ := c.opts.State.Group(id)
+		if k, ok := l.registry.Get(id, record.Primary); ok {
+			longest = max(longest, k.LeavingFor(clock.Now()))
+		}
+	}
+	return longest
+}
+
 func (l *leadership) replaceLeavingPrimary(ctx context.Context, id topo.GroupID, to topo.UpstreamID) {
 	klog.InfoS("control: primary is leaving", "group", id, "successor", to)
 	err := l.c.Switchover(ctx, id, to)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -17,6 +17,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/peer"
+	"github.com/cicadacove/cicadacove/internal/spread"
 	"github.com/cicadacove/cicadacove/internal/voter"
 )
 
@@ -57,6 +58,8 @@
 	// failedTargets are the databases to which a switchover from the leaving
 	// primary failed.
 	failedTargets map[topo.GroupID][]topo.UpstreamID
+	// withoutSuccessor are the groups whose leaving primary nothing can replace.
+	withoutSuccessor map[topo.GroupID]bool
 	// drainChanged is closed when a member releases a lease.
 	drainChanged chan struct{}
 	// tickNow requests an immediate tick.
@@ -84,13 +87,14 @@
 		removingDatabases: map[databaseKey]bool{},
 		switchingOver:     map[topo.GroupID]bool{},
 		failedTargets:     map[topo.GroupID][]topo.UpstreamID{},
+		withoutSuccessor:  map[topo.GroupID]bool{},
 		drainChanged:      make(chan struct{}),
 		tickNow:           make(chan struct{}, 1),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, k := range c.registry.All() {
-		l.registry.Receive(k.Announcement, k.ReceivedAt)
+		l.registry.Import(k)
 	}
 	return l
 }
@@ -269,9 +273,9 @@
 	defer l.mu.Unlock()
 	now := clock.Now()
 	for _, h := range req.List {
-		at := now.Add(-h.Age)
-		if l.registry.Receive(h.Announcement, at).Accepted() {
-			l.primaryAnnounced(h.Announcement, at)
+		k := spread.Known(h, now)
+		if l.registry.Import(k).Accepted() {
+			l.primaryAnnounced(k.Announcement, k.ReceivedAt)
 		}
 	}
 	for _, f := range req.Refreshed {
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -53,6 +53,17 @@
 	topo.Announcement
 	// ReceivedAt is when an instance first received it, on this instance's clock.
 	ReceivedAt time.Time
+	// LeavingSince is when an instance first received that this incarnation leaves,
+	// on this instance's clock. It is zero unless Leaving is set.
+	LeavingSince time.Time
+}
+
+// LeavingFor returns how long the upstream has been leaving, zero if it is not.
+func (k KnownUpstream) LeavingFor(now time.Time) time.Duration {
+	if !k.Leaving {
+		return 0
+	}
+	return now.Sub(k.LeavingSince)
 }
 
 // Registry keeps the latest announcement of each upstream. It also keeps expired
@@ -70,6 +81,13 @@
 
 // Receive processes an announcement that some instance first received at receivedAt.
 func (r *Registry) Receive(a topo.Announcement, receivedAt time.Time) Outcome {
+	return r.Import(KnownUpstream{Announcement: a, ReceivedAt: receivedAt})
+}
+
+// Import processes an announcement that another registry holds. LeavingSince may
+// be zero if the sender does not know it.
+func (r *Registry) Import(k KnownUpstream) Outcome {
+	a, receivedAt := k.Announcement, k.ReceivedAt
 	if !valid(a) {
 		return RefusedMalformed
 	}
@@ -94,8 +112,9 @@
 	if known && !a.Newer(old.Announcement) {
 		return Stale
 	}
-	group[a.ID] = KnownUpstream{a, receivedAt}
-	r.markReplaced(a)
+	k.LeavingSince = leavingSince(old, k)
+	group[a.ID] = k
+	r.markReplaced(a, receivedAt)
 	if !known || r.Expired(old, receivedAt) || differs(old.Announcement, a) {
 		return Updated
 	}
@@ -115,11 +134,30 @@
 	return false
 }
 
+// leavingSince returns when the incarnation of next began to leave. old is the
+// previous announcement of the upstream, or zero.
+func leavingSince(old, next KnownUpstream) time.Time {
+	if !next.Leaving {
+		return time.Time{}
+	}
+	since := next.LeavingSince
+	if since.IsZero() {
+		since = next.ReceivedAt
+	}
+	if old.Leaving && old.Incarnation == next.Incarnation && old.LeavingSince.Before(since) {
+		return old.LeavingSince
+	}
+	return since
+}
+
 // markReplaced marks upstreams as gone whose address a has taken over.
-func (r *Registry) markReplaced(a topo.Announcement) {
+func (r *Registry) markReplaced(a topo.Announcement, at time.Time) {
 	for _, group := range r.groups {
 		for id, k := range group {
 			if id != a.ID && k.Addr == a.Addr && !k.Gone && k.Incarnation < a.Incarnation {
+				if !k.Leaving {
+					k.LeavingSince = at
+				}
 				k.Leaving, k.Gone = true, true
 				group[id] = k
 			}
--- a/internal/core/membership/successor_test.go
+++ b/internal/core/membership/successor_test.go
@@ -32,7 +32,9 @@
 func TestSuccessorPrefersFreshUpstreamsWithoutAFailedSwitchover(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
 	known := func(id string, receivedAt int, position topo.Position) KnownUpstream {
-		return KnownUpstream{topo.Announcement{ID: topo.UpstreamID(id), Point: topo.Point{Position: position}}, at(receivedAt)}
+		return KnownUpstream{
+			Announcement: topo.Announcement{ID: topo.UpstreamID(id), Point: topo.Point{Position: position}}, ReceivedAt: at(receivedAt),
+		}
 	}
 	silent, fresh, ahead := known("silent", 0, 9), known("fresh", 10, 1), known("ahead", 10, 2)
 	id, ok := Successor([]KnownUpstream{silent, fresh, ahead}, nil, at(8))
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -111,6 +111,8 @@
 type AgedAnnouncement struct {
 	Announcement topo.Announcement `msgpack:"a"`
 	Age          time.Duration     `msgpack:"g"`
+	// LeavingAge is how long the upstream has been leaving, zero if it is not.
+	LeavingAge time.Duration `msgpack:"lg,omitempty"`
 }
 
 // Refresh reports a repeated announcement of which only the sequence number and the
--- a/internal/spread/announcements.go
+++ b/internal/spread/announcements.go
@@ -78,7 +78,7 @@
 	for _, k := range taken {
 		age := now.Sub(k.ReceivedAt)
 		if k.full {
-			batch.List = append(batch.List, ctlwire.AgedAnnouncement{Announcement: k.Announcement, Age: age})
+			batch.List = append(batch.List, aged(k.KnownUpstream, now))
 			continue
 		}
 		batch.Refreshed = append(batch.Refreshed, ctlwire.Refresh{
@@ -93,15 +93,28 @@
 func Snapshot(r *membership.Registry, now time.Time) ctlwire.Announcements {
 	var list []ctlwire.AgedAnnouncement
 	for _, k := range r.All() {
-		list = append(list, ctlwire.AgedAnnouncement{Announcement: k.Announcement, Age: now.Sub(k.ReceivedAt)})
+		list = append(list, aged(k, now))
 	}
 	return ctlwire.Announcements{List: list}
 }
 
+func aged(k membership.KnownUpstream, now time.Time) ctlwire.AgedAnnouncement {
+	return ctlwire.AgedAnnouncement{Announcement: k.Announcement, Age: now.Sub(k.ReceivedAt), LeavingAge: k.LeavingFor(now)}
+}
+
+// Known converts a received announcement to this process's clock.
+func Known(h ctlwire.AgedAnnouncement, now time.Time) membership.KnownUpstream {
+	k := membership.KnownUpstream{Announcement: h.Announcement, ReceivedAt: now.Add(-h.Age)}
+	if h.Announcement.Leaving && h.LeavingAge > 0 {
+		k.LeavingSince = now.Add(-h.LeavingAge)
+	}
+	return k
+}
+
 // Apply adds a batch to a registry and reports whether it changed anything.
 func Apply(r *membership.Registry, batch ctlwire.Announcements, now time.Time) (changed bool) {
 	for _, h := range batch.List {
-		changed = r.Receive(h.Announcement, now.Add(-h.Age)) == membership.Updated || changed
+		changed = r.Import(Known(h, now)) == membership.Updated || changed
 	}
 	for _, f := range batch.Refreshed {
 		r.Refresh(f.Group, f.ID, f.Incarnation, f.Seq, f.Point, now.Add(-f.Age))
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -37,6 +37,7 @@
 	configRevision  metric.Int64Gauge
 	replicaLag      metric.Int64Gauge
 	leader          metric.Int64Gauge
+	primaryLeaving  metric.Float64Gauge
 	controlBytes    metric.Int64Counter
 	droppedLogLines metric.Int64Counter
 
@@ -93,6 +94,7 @@
 		configRevision:  b.gauge("cicadacove.config.revision", "{revision}", "Revision of the configuration in force"),
 		replicaLag:      b.gauge("cicadacove.replica.lag", "{transaction}", "Transactions by which a replica is behind its primary"),
 		leader:          b.gauge("cicadacove.control.leader", "{leader}", "1 when the instance's voter leads, else 0"),
+		primaryLeaving:  b.secondsGauge("cicadacove.control.primary_leaving", "Longest time for which a primary in use has been leaving, by the leader; else 0"),
 		controlBytes:    b.counter("cicadacove.control.bytes", "By", "Bytes sent between entry instances"),
 		droppedLogLines: b.counter("cicadacove.log.left_out", "{line}", "Log lines that were left out, by class"),
 	}
@@ -254,6 +256,15 @@
 	i.leader.Record(context.Background(), value)
 }
 
+// PrimaryLeaving sets the longest time for which a primary in use has been
+// leaving.
+func (i *Instruments) PrimaryLeaving(longest time.Duration) {
+	if i == nil {
+		return
+	}
+	i.primaryLeaving.Record(context.Background(), longest.Seconds())
+}
+
 // ControlBytes counts bytes sent to other entry instances.
 func (i *Instruments) ControlBytes(n int) {
 	if i == nil {
