leaving primaries: no new work after the drain limit, and a handover that does not wait for it

Callers saw: requests at a database later than 7 s after it had said that it leaves (DRAIN). Cause: the use of a leaving primary ended only with a successful switchover or failover. While each replica lagged or was out of reach, every switchover failed in its wait for the replica, and neither the leader nor the entry instances had a limit of their own. Change: an announcement carries since when its incarnation leaves, so it survives a new leader and a restarted instance. Half of the limit after it, the leader no longer waits for a replica that has everything. Half a second before it ends, an instance sends no new work: Authority ends at once, and each first statement is checked again when it has its slot and connection, since it may have queued. Open transactions may end. Works without control, too, and a lost announcement of the primary no longer keeps the leader from replacing it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -201,18 +201,34 @@
 }
 
 // Authority returns the right to send writes of the group to its primary and
-// to acknowledge them, if the lease covers the group now.
+// to acknowledge them, if the lease covers the group now and the primary accepts
+// new work.
 func (a *Agent) Authority(g topo.GroupID) (Authority, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r, ok := a.controlState.Groups[g]
-	if !ok || !a.covers(r) {
+	if !ok || !a.covers(r) || !a.acceptsWork(g, r.Primary) {
 		return Authority{}, false
 	}
 	d, _ := r.Database(r.Primary)
 	return Authority{Term: r.Term, Primary: r.Primary, PrimaryAddr: a.addrOf(r, r.Primary), PrimarySlots: d.Slots}, true
 }
 
+// AcceptsWork reports whether a database may receive new work: false once it has
+// been leaving for too long. Callers check it right before they send a statement
+// outside of a transaction or the first one of a transaction.
+func (a *Agent) AcceptsWork(g topo.GroupID, id topo.UpstreamID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.acceptsWork(g, id)
+}
+
+// acceptsWork is AcceptsWork for callers that hold a.mu.
+func (a *Agent) acceptsWork(g topo.GroupID, id topo.UpstreamID) bool {
+	k, announced := a.registry.Get(g, id)
+	return !announced || a.timing.AcceptsWork(k.LeavingFor(a.now()))
+}
+
 // covers reports whether the lease covers the group's term and no failover is in
 // progress. The caller holds a.mu.
 func (a *Agent) covers(r *ctlstate.GroupRecord) bool {
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -41,7 +41,7 @@
 		if to, ok := l.successor(record, now); ok {
 			l.switchingOver[id] = true
 			g.Go(func() error {
-				l.replaceLeavingPrimary(ctx, id, to)
+				l.replaceLeavingPrimary(ctx, record, to)
 				return nil
 			})
 		}
@@ -59,7 +59,7 @@
 // advanced one among those that may receive new work. The caller holds l.mu.
 func (l *leadership) successor(record ctlstate.GroupRecord, now time.Time) (topo.UpstreamID, bool) {
 	primary, announced := l.registry.Get(record.ID, record.Primary)
-	if !announced || !primary.Leaving || l.registry.Expired(primary, now) || l.switchingOver[record.ID] {
+	if !announced || !primary.Leaving || l.switchingOver[record.ID] {
 		return "", false
 	}
 	to, ok := l.selectSuccessor(record, now)
@@ -102,30 +102,72 @@
 	return longest
 }
 
-func (l *leadership) replaceLeavingPrimary(ctx context.Context, id topo.GroupID, to topo.UpstreamID) {
-	klog.InfoS("control: primary is leaving", "group", id, "successor", to)
-	err := l.c.Switchover(ctx, id, to)
+// replaceLeavingPrimary makes another database the primary. As long as the leaving
+// primary need not be replaced at once, it first waits until the successor has
+// everything that the primary has.
+func (l *leadership) replaceLeavingPrimary(ctx context.Context, record ctlstate.GroupRecord, to topo.UpstreamID) {
+	l.mu.Lock()
+	primary, _ := l.registry.Get(record.ID, record.Primary)
+	now := clock.Now()
+	atOnce := l.mustLeaveLocked(primary, now)
+	l.mu.Unlock()
+	klog.InfoS("control: primary is leaving", "group", record.ID, "upstream", record.Primary, "successor", to,
+		"leaving_ms", primary.LeavingFor(now).Milliseconds(), "at_once", atOnce)
+	err := l.handOver(ctx, record, to, atOnce, l.c.timing.HandoverTime()-primary.LeavingFor(now))
 	if err != nil {
-		klog.Warningf("control: primary of %s is leaving: switchover failed: %v", id, err)
+		klog.InfoS("control: switchover from a leaving primary failed", "group", record.ID, "upstream", record.Primary,
+			"successor", to, "at_once", atOnce, "reason", err.Error())
 		clock.Sleep(ctx, databaseRetryDelay)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.switchingOver, id)
-	if err == nil {
-		delete(l.failedTargets, id)
+	delete(l.switchingOver, record.ID)
+	if current, _ := l.c.opts.State.Group(record.ID); err == nil || current.Primary != record.Primary {
+		delete(l.failedTargets, record.ID)
 		return
 	}
-	l.failedTargets[id] = append(l.failedTargets[id], to)
-	if len(l.failedTargets[id]) >= maxSwitchovers && l.drivers[id] == nil && l.tasks != nil {
-		klog.Warningf("control: primary of %s is leaving and every switchover failed; starting a failover", id)
-		delete(l.failedTargets, id)
-		l.start(l.ctx, l.tasks, id, failover.Suspect{})
+	l.failedTargets[record.ID] = append(l.failedTargets[record.ID], to)
+}
+
+// handOver makes a database the primary. Unless atOnce is set, it first waits, for
+// at most limit if the group's databases have a drain limit, until the database
+// has everything that the primary has.
+func (l *leadership) handOver(ctx context.Context, record ctlstate.GroupRecord, to topo.UpstreamID, atOnce bool, limit time.Duration) error {
+	if atOnce {
+		return l.switchover(ctx, record.ID, to)
+	}
+	if l.c.timing.DrainLimit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	target, _ := record.Database(to)
+	if err := l.c.catchUp(ctx, record, target); err != nil {
+		return err
+	}
+	return l.switchover(l.ctx, record.ID, to)
+}
+
+// mustLeave reports whether a database is about to shut down and can't wait for a
+// successor that has everything it has.
+func (l *leadership) mustLeave(g topo.GroupID, id topo.UpstreamID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k, announced := l.registry.Get(g, id)
+	return announced && l.mustLeaveLocked(k, clock.Now())
+}
+
+// mustLeaveLocked is mustLeave for callers that hold l.mu.
+func (l *leadership) mustLeaveLocked(k membership.KnownUpstream, now time.Time) bool {
+	if !k.Leaving {
+		return false
 	}
+	overdue := l.c.timing.DrainLimit > 0 && k.LeavingFor(now) >= l.c.timing.HandoverTime()
+	return k.Gone || overdue || len(l.failedTargets[k.Group]) >= maxSwitchovers
 }
 
 // maxSwitchovers is the number of planned switchovers from a leaving primary that
-// may fail before the leader starts a failover.
+// may fail before the leader replaces it without waiting for its successor.
 const maxSwitchovers = 3
 
 // start runs a driver for the group's failover. The caller holds l.mu.
--- a/internal/control/scenario_test.go
+++ b/internal/control/scenario_test.go
@@ -258,3 +258,28 @@
 	}
 	d.await("three groups in term 2", inTerm(2, 2))
 }
+
+// leavingTiming has the proportions of a deployment with a drain limit.
+var leavingTiming = agent.Timing{DrainLimit: 4 * time.Second, CatchUp: 300 * time.Millisecond}
+
+func TestLeavingPrimaryGetsNoNewWorkAfterItsDrainLimit(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, deployOptions{entries: 4, voters: 3, timing: leavingTiming})
+	for _, name := range []string{"b", "c"} {
+		d.net.Isolate(string(d.database(name).ID()))
+	}
+	leavingAt := time.Now()
+	d.database("a").Leave()
+	d.await("no instance uses the leaving primary", func() bool { return !d.haveAuthority(d.entries[0]) })
+	d.await("at none of them", func() bool {
+		for _, e := range d.entries {
+			if e.agent.AcceptsWork(group, d.database("a").ID()) {
+				return false
+			}
+		}
+		return true
+	})
+	require.Less(t, time.Since(leavingAt), leavingTiming.DrainLimit)
+	d.net.HealAll()
+	d.awaitTerm(2, d.entries...)
+}
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -119,3 +119,18 @@
 	require.False(t, UsableEpoch(done, k("e2")))
 	require.Equal(t, EpochStep{}, NextEpochStep(done, members))
 }
+
+func TestLeavingSinceIsTheEarliestReceiptOfTheIncarnation(t *testing.T) {
+	r, start := NewRegistry(time.Second), time.Unix(1000, 0)
+	leaving := announcement(5, 2)
+	leaving.Leaving = true
+	r.Receive(announcement(5, 1), start)
+	r.Import(KnownUpstream{Announcement: leaving, ReceivedAt: start.Add(3 * time.Second), LeavingSince: start.Add(2 * time.Second)})
+	leaving.Seq = 3
+	r.Receive(leaving, start.Add(4*time.Second))
+	k, _ := r.Get(leaving.Group, leaving.ID)
+	require.Equal(t, 4*time.Second, k.LeavingFor(start.Add(6*time.Second)))
+	r.Receive(announcement(6, 1), start.Add(5*time.Second))
+	k, _ = r.Get(leaving.Group, leaving.ID)
+	require.Zero(t, k.LeavingFor(start.Add(6*time.Second)), "a later incarnation does not leave")
+}
--- a/internal/ctlview/ctlview.go
+++ b/internal/ctlview/ctlview.go
@@ -34,6 +34,9 @@
 	// Authority returns the primary of the group, if this instance's lease
 	// covers the group's term now.
 	Authority(g topo.GroupID) (Authority, bool)
+	// AcceptsWork reports whether an upstream may receive new work now. Callers
+	// check it right before they send the first statement of a piece of work.
+	AcceptsWork(g topo.GroupID, id topo.UpstreamID) bool
 	// Holds reports whether the lease covers (g, t) now. Callers check it right
 	// before they acknowledge a write.
 	Holds(g topo.GroupID, t topo.Term) bool
--- a/internal/ctlwire/timing.go
+++ b/internal/ctlwire/timing.go
@@ -48,6 +48,9 @@
 	// FenceTimeout is how long a failover waits for databases that have not
 	// confirmed the fence, in groups where the primary alone acknowledges writes.
 	FenceTimeout time.Duration
+	// DrainLimit is how long after it announced that it leaves a database may still
+	// receive new work; zero means until it has been replaced.
+	DrainLimit time.Duration
 	// Remove is how long a member without a lease stays registered.
 	Remove time.Duration
 }
@@ -94,6 +97,21 @@
 	return t
 }
 
+// drainReserve is how long before the end of DrainLimit instances stop sending new
+// work. It covers the delay of the announcement and of the request itself.
+const drainReserve = 500 * time.Millisecond
+
+// AcceptsWork reports whether a database that has been leaving for the duration
+// may still receive new work.
+func (t Timing) AcceptsWork(leavingFor time.Duration) bool {
+	return t.DrainLimit == 0 || leavingFor < t.DrainLimit-drainReserve
+}
+
+// HandoverTime returns how long the leader waits for a replica that has
+// everything a leaving primary has, before it replaces the primary with the best
+// replica there is; zero means without limit.
+func (t Timing) HandoverTime() time.Duration { return t.DrainLimit / 2 }
+
 // LeaseTiming returns the time limits of a lease.
 func (t Timing) LeaseTiming() lease.Timing {
 	return lease.Timing{Duration: t.Lease, Margin: t.Margin, DriftPPM: t.DriftPPM}
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -76,6 +76,10 @@
 		return outcome.Outcome{}, err
 	}
 	a.conn = pc
+	if !a.engine.opts.Control.AcceptsWork(a.upstream.Group, a.upstream.ID) {
+		a.close()
+		return outcome.Outcome{}, errLeaving
+	}
 	return outcome.Outcome{}, nil
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -375,3 +375,18 @@
 		require.Zero(t, events.ended[1].Held)
 	})
 }
+
+func TestNothingIsSentToAnUpstreamThatAcceptsNoNewWork(t *testing.T) {
+	db := newFakeGroup()
+	e := newEngine(db)
+	c, tx := open(t, e, "strict"), open(t, e, "strict")
+	tx.begin(false)
+	tx.write("t1")
+	db.ending = map[topo.UpstreamID]bool{"a": true}
+	before := len(db.runs)
+	require.Equal(t, outcome.NotRun, c.write("w1").Outcome.Kind)
+	require.Equal(t, outcome.NotRun, c.read("r1").Outcome.Kind)
+	require.Len(t, db.runs, before)
+	require.Equal(t, outcome.Done, tx.write("t2").Outcome.Kind, "an open transaction may end")
+	require.Equal(t, outcome.Done, tx.commit().Outcome.Kind)
+}
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -7,6 +7,7 @@
 
 var (
 	errNoAuthority = errors.New("engine: no primary is available under a valid lease")
+	errLeaving     = errors.New("engine: the upstream is about to shut down")
 	errCircuitOpen = errors.New("engine: the upstream's circuit breaker is open")
 )
 
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -37,6 +37,8 @@
 	term     topo.Term
 	leased   bool
 	isolated bool
+	// ending are the upstreams that accept no new work, since they are shutting down.
+	ending   map[topo.UpstreamID]bool
 	position topo.Position
 	applied  map[topo.UpstreamID]topo.Position
 	conns    int
@@ -235,6 +237,12 @@
 	return topo.Announcement{Group: group, ID: id, Addr: "addr-" + string(id), Zone: topo.Zone("zone-" + string(id)), Role: role, Slots: 4}
 }
 
+func (db *fakeGroup) AcceptsWork(_ topo.GroupID, id topo.UpstreamID) bool {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return !db.ending[id]
+}
+
 func (db *fakeGroup) Holds(_ topo.GroupID, t topo.Term) bool {
 	db.mu.Lock()
 	defer db.mu.Unlock()
