failover: a leaving database is not promoted while another is available

Callers saw: DRAIN again after a failover: the database that was leaving became the primary once more. Cause: a failover promoted the highest log position, whoever had it. Where the replicas lag, that is the leaving primary itself. Change: a confirmed fence tells whether the database must leave. Where the primary alone acknowledges writes, the best of the others is promoted; the attempt goes on waiting, also for databases that join the group meanwhile, if none replies. Where more databases confirm a write, the leaving one is promoted only if the others may lack one. Before the handover time a leaving database counts like the others, so that a failover loses no writes early.

--- a/internal/control/driver_commands.go
+++ b/internal/control/driver_commands.go
@@ -77,9 +77,7 @@
 	if c.Target != "" {
 		run.catchUpTarget(ctx, c)
 	}
-	for _, db := range run.record.Databases {
-		go run.fenceDatabase(ctx, db, c.Term)
-	}
+	go run.fenceAll(ctx, c.Term)
 	timeout := run.leadership.c.timing.FenceTimeout
 	if c.Target != "" {
 		timeout = run.leadership.c.timing.CatchUp
@@ -89,6 +87,27 @@
 	}
 }
 
+// fenceAll fences the databases of the group, including those that join it before
+// the attempt has chosen one.
+func (run commandRun) fenceAll(ctx context.Context, t topo.Term) {
+	started := map[topo.UpstreamID]bool{}
+	for {
+		record, known := run.leadership.c.opts.State.Group(run.group)
+		if !known || record.Attempt == nil || record.Attempt.Term != run.attempt || record.Attempt.Chosen != "" {
+			return
+		}
+		for _, db := range record.Databases {
+			if !started[db.ID] {
+				started[db.ID] = true
+				go run.fenceDatabase(ctx, db, t)
+			}
+		}
+		if !clock.Sleep(ctx, commandRetryDelay) {
+			return
+		}
+	}
+}
+
 // fenceDatabase fences one database and retries until it succeeds or ctx ends.
 func (run commandRun) fenceDatabase(ctx context.Context, db ctlstate.Database, t topo.Term) {
 	for {
@@ -109,7 +128,7 @@
 	defer cancel()
 	status, err := run.leadership.c.db.Fence(ctx, locationOf(run.group, db), t)
 	if err == nil {
-		return failover.FenceConfirmed{Attempt: run.attempt, Database: db.ID, Point: status.Point}, nil
+		return failover.FenceConfirmed{Attempt: run.attempt, Database: db.ID, Point: status.Point, Leaving: run.leadership.mustLeave(run.group, db.ID)}, nil
 	}
 	if !errors.Is(err, dbapi.ErrHigherTerm) {
 		return nil, err
--- a/internal/control/scenario_test.go
+++ b/internal/control/scenario_test.go
@@ -283,3 +283,24 @@
 	d.net.HealAll()
 	d.awaitTerm(2, d.entries...)
 }
+
+func TestLeavingPrimaryIsReplacedBeforeItsDrainLimitAlthoughReplicasLag(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, deployOptions{entries: 4, voters: 3, timing: leavingTiming})
+	d.startWriters()
+	d.database("b").SetReplicationLag(700 * time.Millisecond)
+	d.database("c").SetReplicationLag(800 * time.Millisecond)
+	time.Sleep(time.Second)
+	leavingAt := time.Now()
+	d.database("a").Leave()
+	d.await("another primary everywhere", func() bool {
+		for _, e := range d.entries {
+			if a, ok := e.agent.Authority(group); !ok || a.Primary == d.database("a").ID() {
+				return false
+			}
+		}
+		return true
+	})
+	require.Less(t, time.Since(leavingAt), leavingTiming.DrainLimit)
+	d.checkWrites(d.stopWriters())
+}
--- a/internal/core/failover/attempt.go
+++ b/internal/core/failover/attempt.go
@@ -31,6 +31,7 @@
 	// minTerm is the lowest term that the next attempt may use.
 	minTerm       topo.Term
 	fenced        map[topo.UpstreamID]topo.Point
+	leaving       map[topo.UpstreamID]bool
 	fenceTimedOut bool
 	choice        Fenced
 	termStart     topo.TermStart
@@ -50,6 +51,7 @@
 		machine:     NewMachine(chart),
 		electedAt:   elected,
 		fenced:      map[topo.UpstreamID]topo.Point{},
+		leaving:     map[topo.UpstreamID]bool{},
 	}
 }
 
@@ -130,11 +132,11 @@
 	case Committed:
 		return committedEvent(e)
 	case FenceConfirmed:
-		a.fenced[e.Database] = e.Point
-		return a.fencedEvent()
+		a.fenced[e.Database], a.leaving[e.Database] = e.Point, e.Leaving
+		return a.fencedEvent(record)
 	case FenceTimedOut:
 		a.fenceTimedOut = true
-		return a.fencedEvent()
+		return a.fencedEvent(record)
 	case FenceHigherTerm:
 		a.minTerm = max(a.minTerm, e.Fenced+1)
 		return EventHigherTerm
@@ -169,20 +171,16 @@
 
 // fencedEvent returns EventFenced if enough databases are fenced. A planned
 // switchover waits for its target until the fence timeout.
-func (a *Attempt) fencedEvent() string {
+func (a *Attempt) fencedEvent(record ctlstate.GroupRecord) string {
 	_, targetFenced := a.fenced[a.target]
 	if a.target != "" && !targetFenced && !a.fenceTimedOut {
 		return ""
 	}
-	var list []Fenced
-	for _, id := range slices.Sorted(maps.Keys(a.fenced)) {
-		list = append(list, Fenced{id, a.fenced[id]})
-	}
-	quorum := a.record.FenceQuorum()
+	quorum := max(a.record.FenceQuorum(), record.FenceQuorum())
 	if a.primaryOnly && a.fenceTimedOut {
 		quorum = 1
 	}
-	choice, enough := Choose(list, quorum, a.target)
+	choice, enough := a.choose(quorum)
 	if !enough {
 		return ""
 	}
@@ -190,6 +188,31 @@
 	return EventFenced
 }
 
+// choose returns the database to promote. It returns a leaving one only where the
+// others might lack an acknowledged write.
+func (a *Attempt) choose(quorum int) (choice Fenced, ok bool) {
+	var all, staying []Fenced
+	for _, id := range slices.Sorted(maps.Keys(a.fenced)) {
+		f := Fenced{id, a.fenced[id]}
+		all = append(all, f)
+		if !a.leaving[id] {
+			staying = append(staying, f)
+		}
+	}
+	best, enough := Choose(all, quorum, a.target)
+	if enough && !a.leaving[best.ID] {
+		return best, true
+	}
+	alternative, found := Choose(staying, 1, a.target)
+	switch {
+	case found && enough && alternative.Point.Compare(best.Point) >= 0, found && len(staying) >= quorum:
+		return alternative, true
+	case a.fenceTimedOut && !a.primaryOnly:
+		return best, enough
+	}
+	return Fenced{}, false
+}
+
 // loadRecord copies the group's replicated state into the attempt.
 func (a *Attempt) loadRecord(record ctlstate.GroupRecord) {
 	a.record = record
@@ -213,6 +236,7 @@
 			a.begun = now
 		}
 		clear(a.fenced)
+		clear(a.leaving)
 		a.fenceTimedOut = false
 	case EventPromoteFailed:
 		a.target = ""
--- a/internal/core/failover/events.go
+++ b/internal/core/failover/events.go
@@ -38,6 +38,9 @@
 	Attempt  topo.Term
 	Database topo.UpstreamID
 	Point    topo.Point
+	// Leaving means that the database is about to shut down, so that another one
+	// should be promoted.
+	Leaving bool
 }
 
 // FenceHigherTerm reports that a database is fenced at a higher term.
@@ -96,8 +99,8 @@
 // terms up to Term.
 type RequestRelease struct{ Term topo.Term }
 
-// Fence fences all databases of the group at Term, retrying each until it
-// confirms. If Target is not empty, the old primary is fenced first and the
+// Fence fences all databases of the group at Term, including those that join the
+// group meanwhile, retrying each until it confirms. If Target is not empty, the old primary is fenced first and the
 // target gets time to copy the old primary's log; FenceTimedOut is due after
 // twice that time.
 type Fence struct {
--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -214,3 +214,39 @@
 		require.Equal(t, began, commands[0].(Propose).Command.Complete.Began)
 	}
 }
+
+func TestLeavingDatabaseIsNotPromotedWhileAnotherIsAvailable(t *testing.T) {
+	p := func(position topo.Position) topo.Point { return topo.Point{Term: 1, Position: position} }
+	leaver := FenceConfirmed{Attempt: 2, Database: "a", Point: p(9), Leaving: true}
+	behind := FenceConfirmed{Attempt: 2, Database: "b", Point: p(7)}
+	level := FenceConfirmed{Attempt: 2, Database: "b", Point: p(9)}
+	other := FenceConfirmed{Attempt: 2, Database: "c", Point: p(8)}
+	timeout := FenceTimedOut{Attempt: 2}
+	cases := []struct {
+		name        string
+		primaryOnly bool
+		events      []Event
+		want        topo.UpstreamID
+	}{
+		{"the others may lack a write until one more has replied", true, []Event{leaver, behind}, ""},
+		{"the furthest of the others", true, []Event{leaver, behind, other}, "c"},
+		{"another one has as much", true, []Event{leaver, level}, "b"},
+		{"the only other one after the timeout", true, []Event{leaver, behind, timeout}, "b"},
+		{"no other one after the timeout", true, []Event{leaver, timeout}, ""},
+		{"one that replies after the timeout", true, []Event{leaver, timeout, behind}, "b"},
+		{"acknowledged writes may be on the leaving one alone", false, []Event{leaver, behind, timeout}, "a"},
+		{"acknowledged writes are on the others", false, []Event{leaver, behind, other}, "c"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			a := NewAttempt(LoadChart(charts.Read("failover.toml")), g, at(0), tc.primaryOnly)
+			a.Handle(Suspect{}, record(nil), at(10))
+			begun := record(&ctlstate.Attempt{Term: 2})
+			a.Handle(Committed{Step: StepBegin}, begun, at(20))
+			for _, e := range tc.events {
+				a.Handle(e, begun, at(30))
+			}
+			require.Equal(t, tc.want, a.Chosen())
+		})
+	}
+}
