lifecycle: a process ends when one of its components does, and a voter waits for a disk that can't be written

Cause: the class is a process that stays half alive. After a failed write the voter ended, but the process waited for its HTTP and peer servers, which nothing closed. It went on answering 'no voter leads', was not restarted, and the group had one vote less than it seemed.

--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,73 @@
+package lifecycle
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func untilDone(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func TestGroupEndsWhenAComponentEndsEarly(t *testing.T) {
+	broken := errors.New("no space left on device")
+	for name, err := range map[string]error{"with an error": broken, "without an error": nil} {
+		t.Run(name, func(t *testing.T) {
+			ln, listenErr := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, listenErr)
+			g := New(t.Context(), func() { ln.Close() })
+			g.Go("server", func(context.Context) error {
+				_, err := ln.Accept()
+				return err
+			})
+			g.Go("loop", untilDone)
+			g.Go("voter", func(context.Context) error { return err })
+			<-g.Failed()
+			var part *PartError
+			require.ErrorAs(t, g.Wait(), &part)
+			require.Equal(t, &PartError{"voter", err}, part)
+		})
+	}
+}
+
+func TestGroupEndsAlthoughAComponentHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := make(chan struct{})
+		defer close(hang)
+		broken := errors.New("input/output error")
+		g := New(t.Context(), func() {})
+		g.Go("disk", func(context.Context) error { <-hang; return nil })
+		g.Go("voter", func(context.Context) error { return broken })
+		start := time.Now()
+		require.ErrorIs(t, g.Wait(), broken)
+		require.LessOrEqual(t, time.Since(start), StopTimeout)
+	})
+}
+
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(t.Context(), func() {})
+		g.Go("loop", untilDone)
+		require.NoError(t, g.Stop())
+
+		ctx, cancel := context.WithCancel(t.Context())
+		g = New(ctx, func() {})
+		g.Go("loop", untilDone)
+		cancel()
+		require.NoError(t, g.Wait(), "the end of the context is no failure")
+
+		hang := make(chan struct{})
+		defer close(hang)
+		g = New(t.Context(), func() {})
+		g.Go("loop", untilDone)
+		g.Go("disk", func(context.Context) error { <-hang; return nil })
+		require.Equal(t, &StopTimeoutError{[]string{"disk"}}, g.Stop())
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/admin"
@@ -30,6 +29,7 @@
 	"github.com/cicadacove/cicadacove/internal/entry"
 	"github.com/cicadacove/cicadacove/internal/expiry"
 	"github.com/cicadacove/cicadacove/internal/grants"
+	"github.com/cicadacove/cicadacove/internal/lifecycle"
 	"github.com/cicadacove/cicadacove/internal/peer"
 	"github.com/cicadacove/cicadacove/internal/telemetry"
 	"github.com/cicadacove/cicadacove/internal/timeline"
@@ -94,15 +94,16 @@
 	Entry *entry.Server
 	Voter *voter.Voter
 
-	opts     Options
-	peers    *peer.Server
-	client   *peer.Client
-	http     *http.Server
-	config   *configrpc.Client
-	grants   *grants.Grants
-	draining atomic.Bool
-	cancel   context.CancelFunc
-	group    *errgroup.Group
+	opts Options
+	// controller is nil if the process runs no voter.
+	controller *control.Controller
+	peers      *peer.Server
+	client     *peer.Client
+	http       *http.Server
+	config     *configrpc.Client
+	grants     *grants.Grants
+	draining   atomic.Bool
+	group      *lifecycle.Group
 }
 
 // Start starts all components.
@@ -110,17 +111,20 @@
 	if opts.Limits == (entry.Limits{}) {
 		opts.Limits = entry.DefaultLimits()
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	n := &Node{opts: opts, cancel: cancel}
+	n := &Node{opts: opts}
 	peerOpts := peer.Options{Secret: opts.PeerSecret, Dial: opts.Dial, Clock: opts.Recorder}
 	n.peers, n.client = peer.NewServer(peerOpts), peer.NewClient(peerOpts)
 	n.config = configrpc.NewClient(n.client, opts.Voters)
-	n.group, ctx = errgroup.WithContext(ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	if err := n.build(ctx); err != nil {
 		cancel()
 		return nil, fmt.Errorf("node %s: %w", opts.ID, err)
 	}
-	n.run(ctx)
+	n.group = lifecycle.New(ctx, func() {
+		cancel()
+		n.closeAll()
+	})
+	n.run()
 	return n, nil
 }
 
@@ -196,27 +200,30 @@
 		Log: v, State: machine, Client: n.client, Server: n.peers,
 		Databases: n.databases(), Timing: n.opts.Timing, Observe: n.controlEvent,
 	})
-	n.group.Go(func() error { return v.Run(ctx) })
-	n.group.Go(func() error { return ctl.Run(ctx) })
+	n.controller = ctl
 	return nil
 }
 
-func (n *Node) run(ctx context.Context) {
-	n.group.Go(func() error { return n.peers.Serve(n.opts.Peers) })
-	n.group.Go(func() error { return n.Agent.Run(ctx) })
-	n.group.Go(func() error { return n.grants.Run(ctx) })
-	n.group.Go(func() error { return n.observeLoop(ctx) })
-	n.group.Go(func() error {
+func (n *Node) run() {
+	if n.Voter != nil {
+		n.group.Go("control voter", n.Voter.Run)
+		n.group.Go("controller", n.controller.Run)
+	}
+	n.group.Go("peer server", func(context.Context) error { return n.peers.Serve(n.opts.Peers) })
+	n.group.Go("agent", n.Agent.Run)
+	n.group.Go("grants", n.grants.Run)
+	n.group.Go("observer", n.observeLoop)
+	n.group.Go("expiry warnings", func(ctx context.Context) error {
 		expiry.Run(ctx, n.Agent, n.recordExpiry)
 		return nil
 	})
-	n.group.Go(func() error { return n.Entry.Serve(n.opts.Callers) })
-	n.group.Go(func() error { return n.Entry.Run(ctx) })
+	n.group.Go("caller server", func(context.Context) error { return n.Entry.Serve(n.opts.Callers) })
+	n.group.Go("entry", n.Entry.Run)
 	adminListener := n.opts.Admin
 	if cert := n.opts.AdminServer.Certificate; cert != nil {
 		adminListener = tls.NewListener(adminListener, cert.Config())
 	}
-	n.group.Go(func() error {
+	n.group.Go("admin server", func(context.Context) error {
 		if err := n.http.Serve(adminListener); err != http.ErrServerClosed {
 			return err
 		}
@@ -280,21 +287,25 @@
 
 // Kill ends the process immediately, like a crash.
 func (n *Node) Kill() {
-	n.Entry.Close()
 	n.stop()
 }
 
+// stop ends all components. An error has been logged by the group.
 func (n *Node) stop() {
-	n.cancel()
-	n.http.Close()
-	n.peers.Close()
-	n.client.Close()
-	n.group.Wait()
+	_ = n.group.Stop()
 	n.opts.Recorder.Record(timeline.PartProcess, timeline.ProcessStopped, timeline.Fields{})
 	if n.opts.Recorder != nil {
 		n.opts.Recorder.Close()
 	}
 }
 
+// closeAll makes the components return that do not watch their context.
+func (n *Node) closeAll() {
+	n.Entry.Close()
+	n.http.Close()
+	n.peers.Close()
+	n.client.Close()
+}
+
 // Wait returns when a component has failed or the node was stopped.
 func (n *Node) Wait() error { return n.group.Wait() }
--- a/internal/voter/disk/store.go
+++ b/internal/voter/disk/store.go
@@ -19,6 +19,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"k8s.io/klog/v2"
 
@@ -91,6 +92,50 @@
 	return OpenFS(fs)
 }
 
+// OpenWritable is like Open. It also fails if the folder can't be written now.
+func OpenWritable(folder string) (*Store, error) {
+	fs, err := NewFS(folder)
+	if err != nil {
+		return nil, err
+	}
+	return OpenWritableFS(fs)
+}
+
+// OpenWritableFS is like OpenWritable, but on the given file system.
+func OpenWritableFS(fs FS) (*Store, error) {
+	s, err := OpenFS(fs)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.checkWritable(); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
+	return s, nil
+}
+
+// probeBytes is the size of the file that checkWritable writes.
+const probeBytes = 64 << 10
+
+// checkWritable writes, syncs and removes a file.
+func (s *Store) checkWritable() error {
+	const name = "probe" + temporarySuffix
+	if err := s.writeTemporary(name, make([]byte, probeBytes)); err != nil {
+		return fmt.Errorf("disk: %s: %w", name, err)
+	}
+	return s.fs.Remove(name)
+}
+
+// IsUnavailable reports whether an error means that the disk is full or fails. It
+// may pass, unlike wrong settings or damaged files.
+func IsUnavailable(err error) bool {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // OpenFS is like Open, but on the given file system.
 func OpenFS(fs FS) (*Store, error) {
 	lock, err := fs.Lock(lockName)
--- a/internal/voter/disk/store_test.go
+++ b/internal/voter/disk/store_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -371,3 +372,25 @@
 	for changes := 0; !run(unlimited, changes); changes++ {
 	}
 }
+
+func TestOpenWritableFailsOnADiskThatRefusesWrites(t *testing.T) {
+	full := &refusingFS{FS: mustFS(t, folderWithEntries(t, 3))}
+	s, err := OpenFS(full)
+	require.NoError(t, err, "reading alone succeeds")
+	require.NoError(t, s.close())
+	_, err = OpenWritableFS(full)
+	require.True(t, IsUnavailable(err), err)
+	require.False(t, IsUnavailable(&CorruptError{}))
+}
+
+func mustFS(t *testing.T, folder string) FS {
+	t.Helper()
+	fs, err := NewFS(folder)
+	require.NoError(t, err)
+	return fs
+}
+
+// refusingFS creates no files.
+type refusingFS struct{ FS }
+
+func (refusingFS) Create(string) (File, error) { return nil, syscall.ENOSPC }
