spread: each announcement of a leaving database is sent in full

Callers would see: DRAIN from an instance that missed one message. Suspected, not seen on the record. Cause: a change is sent once to each process, without an answer; repetitions travel as refreshes, which advance the sequence number and do not say that the database leaves, and only every fourth heartbeat in full. With a heartbeat of 1.2 s a process that missed the first learned of it up to 4.8 s later, and one that missed two not within the 7 s. Red before: TestReceiverThatMissedTheChangeLearnsOfLeavingFromTheNextHeartbeat.

--- a/internal/spread/announcements.go
+++ b/internal/spread/announcements.go
@@ -50,9 +50,11 @@
 	return next
 }
 
-// Add queues an announcement. A change is sent at once and in full.
+// Add queues an announcement. A change is sent at once and in full. One that says
+// that the upstream leaves is always sent in full: a receiver that missed the first
+// must learn of it in time.
 func (a *Announcements) Add(k membership.KnownUpstream, changed bool) {
-	full := changed || k.Seq%fullAnnouncementEvery == 0
+	full := changed || k.Leaving || k.Seq%fullAnnouncementEvery == 0
 	a.out.Add(upstreamKey{k.Group, k.ID}, pending{k, full}, changed)
 }
 
