lifecycle: components may end during a graceful shutdown

Cause: a graceful shutdown closes servers one after the other, and the new group took their end for a failure: a voter ended with exit code 1, and the PostgreSQL node stopped everything before it had released its lease. Change: Group.Shutdown expects components to end while it drains.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -110,6 +110,16 @@
 // Failed returns a channel that is closed when a component has ended early.
 func (g *Group) Failed() <-chan struct{} { return g.failed }
 
+// Shutdown stops the process gracefully: it calls drain, during which components
+// may end, and then Stop.
+func (g *Group) Shutdown(drain func()) error {
+	g.mu.Lock()
+	g.stopping = true
+	g.mu.Unlock()
+	drain()
+	return g.Stop()
+}
+
 // Stop stops all components and returns once they have ended, after StopTimeout
 // at the latest. The error is a *PartError if a component had ended early before,
 // else a *StopTimeoutError if one did not stop in time.
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -71,3 +71,17 @@
 		require.Equal(t, &StopTimeoutError{[]string{"disk"}}, g.Stop())
 	})
 }
+
+func TestComponentsMayEndDuringAGracefulShutdown(t *testing.T) {
+	server := make(chan struct{})
+	g := New(t.Context(), func() {})
+	g.Go("loop", untilDone)
+	g.Go("server", func(context.Context) error { <-server; return nil })
+	alive := false
+	require.NoError(t, g.Shutdown(func() {
+		close(server)
+		time.Sleep(20 * time.Millisecond)
+		alive = g.ctx.Err() == nil
+	}))
+	require.True(t, alive, "the others run until the drain is over")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -263,12 +264,19 @@
 	case <-time.After(n.opts.DrainDelay):
 	case <-ctx.Done():
 	}
+	var err error
+	stopErr := n.group.Shutdown(func() { err = n.drain(ctx) })
+	n.recordStop()
+	return errors.Join(err, stopErr)
+}
+
+// drain ends the callers' connections and gives back what the instance holds.
+func (n *Node) drain(ctx context.Context) error {
 	err := n.Entry.Shutdown(ctx)
 	if leaveErr := n.Agent.Leave(ctx); leaveErr != nil {
 		klog.Warningf("node: %s could not release its lease: %v", n.opts.ID, leaveErr)
 	}
 	n.transferLeadership(ctx)
-	n.stop()
 	return err
 }
 
@@ -293,6 +301,10 @@
 // stop ends all components. An error has been logged by the group.
 func (n *Node) stop() {
 	_ = n.group.Stop()
+	n.recordStop()
+}
+
+func (n *Node) recordStop() {
 	n.opts.Recorder.Record(timeline.PartProcess, timeline.ProcessStopped, timeline.Fields{})
 	if n.opts.Recorder != nil {
 		n.opts.Recorder.Close()
