control: an acknowledged heartbeat is known elsewhere, and can't retire a database in use

Change: a heartbeat is acknowledged only by a voter that leads or has another process to tell; one that says 'leaving' once another voter or an entry instance has confirmed it. Unnamed services and addresses in use are refused. The leader reports control.further_losses and logs each change; a voter that is out counts as lost.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"k8s.io/klog/v2"
 
@@ -14,12 +15,39 @@
 	"github.com/cicadacove/cicadacove/internal/spread"
 )
 
+// ErrNotForwarded means that no other process has received an announcement, so that
+// it would be lost with this voter.
+var ErrNotForwarded = errors.New("control: no other process has received the announcement")
+
 // Announce records an announcement that an upstream sent to this voter, and
-// forwards it to the other voters and to all members.
-func (c *Controller) Announce(a topo.Announcement) membership.Outcome {
+// forwards it to the other voters and to all members. If the error is nil, the
+// announcement outlives this voter: one that says that the upstream leaves has been
+// received by another process, any other one will be sent to one.
+func (c *Controller) Announce(ctx context.Context, a topo.Announcement) (membership.Outcome, error) {
+	outcome := c.receive(a)
+	receivers := c.receivers()
+	switch {
+	case !outcome.Accepted() && outcome != membership.Stale:
+		return outcome, nil
+	case len(receivers) == 0 && c.leadership() == nil:
+		return outcome, ErrNotForwarded
+	case !a.Leaving || len(receivers) == 0:
+		return outcome, nil
+	}
+	return outcome, c.awaitReceived(ctx, a, receivers)
+}
+
+// receive records an announcement and queues it to be forwarded.
+func (c *Controller) receive(a topo.Announcement) membership.Outcome {
+	if known := c.opts.Upstreams.Known; known != nil && !known(a.Group) {
+		return membership.RefusedGroup
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
+	if c.registry.AddressInUse(a, now, c.timing.AddressSilence) {
+		return membership.RefusedAddress
+	}
 	outcome := c.registry.Receive(a, now)
 	if outcome.Accepted() {
 		k, _ := c.registry.Get(a.Group, a.ID)
@@ -28,6 +56,58 @@
 	return outcome
 }
 
+// receiver is a process to which this voter forwards announcements.
+type receiver struct{ addr, kind string }
+
+// maxConfirmingMembers is the number of entry instances that are asked to confirm an
+// announcement, besides the voters.
+const maxConfirmingMembers = 4
+
+// receivers returns processes that can confirm an announcement: the other voters
+// and a few members.
+func (c *Controller) receivers() []receiver {
+	var list []receiver
+	for _, addr := range c.otherVoters() {
+		list = append(list, receiver{addr, ctlwire.KindAnnouncements})
+	}
+	for _, m := range c.opts.State.Members() {
+		if len(list) >= len(c.otherVoters())+maxConfirmingMembers {
+			break
+		}
+		if !m.Superseded {
+			list = append(list, receiver{m.PeerAddr, ctlwire.KindAnnounce})
+		}
+	}
+	return list
+}
+
+// awaitReceived sends the current announcement of an upstream to the receivers and
+// returns once one of them has received it.
+func (c *Controller) awaitReceived(ctx context.Context, a topo.Announcement, receivers []receiver) error {
+	c.mu.Lock()
+	k, known := c.registry.Get(a.Group, a.ID)
+	batch := spread.One(k, clock.Now())
+	c.mu.Unlock()
+	if !known {
+		return ErrNotForwarded
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timing.Call)
+	defer cancel()
+	errs := make(chan error, len(receivers))
+	for _, r := range receivers {
+		go func() {
+			_, err := peer.Call[ctlwire.Answer](ctx, c.opts.Client, r.addr, r.kind, batch)
+			errs <- err
+		}()
+	}
+	for range receivers {
+		if err := <-errs; err == nil {
+			return nil
+		}
+	}
+	return ErrNotForwarded
+}
+
 // UpstreamEnded records that an upstream has shut down. It returns false if the
 // upstream has never announced itself to this voter.
 func (c *Controller) UpstreamEnded(id topo.UpstreamID) bool {
@@ -43,7 +123,7 @@
 		return false
 	}
 	last.Leaving, last.Gone = true, true
-	c.Announce(last.Announcement)
+	c.receive(last.Announcement)
 	return true
 }
 
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -53,6 +53,9 @@
 	// AutoFollow means that replicas find a new primary by themselves: the
 	// leader sends follow commands only to a database that claims to be primary.
 	AutoFollow bool
+	// Known reports whether the configuration names the group; nil means that
+	// every group is known. Announcements of other groups are refused.
+	Known func(topo.GroupID) bool
 	// Durability returns how many databases must hold a write of the group
 	// before it is acknowledged; nil means 2.
 	Durability func(topo.GroupID) int
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -38,6 +38,8 @@
 	// RefusedFull: the group has too many upstreams, or there are too many
 	// groups.
 	RefusedFull
+	// RefusedGroup: the configuration does not name the group.
+	RefusedGroup
 )
 
 // Accepted reports whether the registry has stored the announcement.
@@ -45,7 +47,7 @@
 
 // String returns the outcome as shown in logs and answers.
 func (o Outcome) String() string {
-	return [...]string{"renewed", "updated", "stale", "address refused", "malformed", "too many upstreams"}[o]
+	return [...]string{"renewed", "updated", "stale", "address refused", "malformed", "too many upstreams", "unknown group"}[o]
 }
 
 // KnownUpstream is the latest announcement of an upstream.
@@ -134,6 +136,21 @@
 	return false
 }
 
+// AddressInUse reports whether another upstream still uses the address of a: it
+// announced itself less than silence before at and has not said that it leaves.
+// Such an upstream must not be replaced by an announcement that only claims its
+// address.
+func (r *Registry) AddressInUse(a topo.Announcement, at time.Time, silence time.Duration) bool {
+	for _, group := range r.groups {
+		for _, k := range group {
+			if k.ID != a.ID && k.Addr == a.Addr && !k.Leaving && at.Sub(k.ReceivedAt) < silence {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // leavingSince returns when the incarnation of next began to leave. old is the
 // previous announcement of the upstream, or zero.
 func leavingSince(old, next KnownUpstream) time.Time {
--- a/internal/core/replog/lead.go
+++ b/internal/core/replog/lead.go
@@ -108,13 +108,19 @@
 // quorumActive reports whether a majority of the voters, including this node,
 // has replied within the election timeout.
 func (n *Node) quorumActive(voters []string) bool {
+	return n.activeVoters(voters) >= quorum.Size(len(voters))
+}
+
+// activeVoters returns how many of the voters, including this node, have replied
+// within the election timeout.
+func (n *Node) activeVoters(voters []string) int {
 	active := 0
 	for _, id := range voters {
 		if id == n.cfg.ID || n.isActive(id) {
 			active++
 		}
 	}
-	return active >= quorum.Size(len(voters))
+	return active
 }
 
 func (n *Node) isActive(id string) bool {
--- a/internal/core/replog/ready.go
+++ b/internal/core/replog/ready.go
@@ -1,6 +1,10 @@
 package replog
 
-import "time"
+import (
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/replog/quorum"
+)
 
 // Confirmation is the successful result of a confirmation request: this node
 // was the leader at some point after the request, and every entry accepted by
@@ -115,6 +119,9 @@
 	SnapshotIndex                   uint64
 	LeaderSince                     time.Time
 	Members                         Membership
+	// ActiveVoters is the number of voters, the leader included, that have replied
+	// to the leader lately. It is zero on other nodes.
+	ActiveVoters int
 	// Waiting are nodes that request to join at an address that no member has. An
 	// operator may add them.
 	Waiting Membership
@@ -140,6 +147,14 @@
 	}
 	if n.role == Leader {
 		s.LeaderSince = n.leaderSince
+		s.ActiveVoters = n.activeVoters(s.Members.Voters())
 	}
 	return s
 }
+
+// FurtherLosses returns how many of the active voters may still fail before the
+// cluster can't commit entries. It is negative if it can't now. Only the status of
+// a leader tells.
+func (s Status) FurtherLosses() int {
+	return s.ActiveVoters - quorum.Size(len(s.Members.Voters()))
+}
--- a/internal/core/replog/reconcile_test.go
+++ b/internal/core/replog/reconcile_test.go
@@ -62,6 +62,26 @@
 	s.requireState("x", "y")
 }
 
+// A voter that is out counts as lost: the leader's status tells how many further
+// voters may fail.
+func TestStatusTellsHowManyFurtherLossesCanBeBorne(t *testing.T) {
+	s := newManagedCluster(t, "a", "b", "c")
+	s.run(time.Second)
+	require.Equal(t, 1, s.mustLeader().Status().FurtherLosses())
+	out := s.nonLeaderAddr()
+	s.crash(out)
+	s.run(removeVoterAfter + time.Second)
+	require.Equal(t, 0, s.mustLeader().Status().FurtherLosses(), "a voter is out and nothing replaces it")
+	s.start("d", s.addrs)
+	s.run(removeVoterAfter + 2*time.Second)
+	require.Equal(t, 1, s.mustLeader().Status().FurtherLosses())
+	for _, n := range s.nodes {
+		if n != s.mustLeader() {
+			require.Zero(t, n.Status().ActiveVoters, "only the leader knows")
+		}
+	}
+}
+
 // A voter that was removed while it was unavailable rejoins with its old disk.
 func TestRemovedVoterRejoins(t *testing.T) {
 	s := newManagedCluster(t, "a", "b", "c")
--- a/internal/ctlwire/timing.go
+++ b/internal/ctlwire/timing.go
@@ -38,6 +38,9 @@
 	// CandidateMaxAge is the greatest age of its announcement at which an upstream is
 	// preferred as the next primary.
 	CandidateMaxAge time.Duration
+	// AddressSilence is how long an upstream must be silent before another one may
+	// take over its address.
+	AddressSilence time.Duration
 	// Tick is the interval at which the leader reconciles the groups.
 	Tick time.Duration
 	// Promote is how long the leader tries to promote the chosen database.
@@ -69,6 +72,7 @@
 	DefaultMinority        = 5 * time.Second
 	DefaultAnnouncementTTL = 2 * time.Second
 	DefaultCandidateMaxAge = time.Second
+	DefaultAddressSilence  = 700 * time.Millisecond
 	DefaultTick            = 25 * time.Millisecond
 	DefaultPromote         = 600 * time.Millisecond
 	DefaultCatchUp         = 500 * time.Millisecond
@@ -83,6 +87,7 @@
 		&t.Probe: DefaultProbe, &t.ProbeTimeout: DefaultProbeTimeout, &t.Silence: DefaultSilence,
 		&t.Minority: DefaultMinority, &t.AnnouncementTTL: DefaultAnnouncementTTL, &t.Tick: DefaultTick, &t.CandidateMaxAge: DefaultCandidateMaxAge, &t.Promote: DefaultPromote,
 		&t.CatchUp: DefaultCatchUp, &t.Remove: DefaultRemove, &t.FenceTimeout: DefaultFenceTimeout,
+		&t.AddressSilence: DefaultAddressSilence,
 	} {
 		if *field == 0 {
 			*field = value
--- a/internal/spread/announcements.go
+++ b/internal/spread/announcements.go
@@ -90,6 +90,11 @@
 	return batch
 }
 
+// One returns a batch with one announcement in full.
+func One(k membership.KnownUpstream, now time.Time) ctlwire.Announcements {
+	return ctlwire.Announcements{List: []ctlwire.AgedAnnouncement{aged(k, now)}}
+}
+
 // Snapshot returns all announcements of a registry, for a process that has just
 // started.
 func Snapshot(r *membership.Registry, now time.Time) ctlwire.Announcements {
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -38,6 +38,8 @@
 	replicaLag      metric.Int64Gauge
 	leader          metric.Int64Gauge
 	primaryLeaving  metric.Float64Gauge
+	furtherLosses   metric.Int64Gauge
+	diskUnavailable metric.Float64Gauge
 	controlBytes    metric.Int64Counter
 	droppedLogLines metric.Int64Counter
 
@@ -95,6 +97,8 @@
 		replicaLag:      b.gauge("cicadacove.replica.lag", "{transaction}", "Transactions by which a replica is behind its primary"),
 		leader:          b.gauge("cicadacove.control.leader", "{leader}", "1 when the instance's voter leads, else 0"),
 		primaryLeaving:  b.secondsGauge("cicadacove.control.primary_leaving", "Longest time for which a primary in use has been leaving, by the leader; else 0"),
+		furtherLosses:   b.gauge("cicadacove.control.further_losses", "{voter}", "Voters that may still fail before control stops, by the leader"),
+		diskUnavailable: b.secondsGauge("cicadacove.control.disk_unavailable", "Time for which the voter has waited for a data folder that can't be written; else 0"),
 		controlBytes:    b.counter("cicadacove.control.bytes", "By", "Bytes sent between entry instances"),
 		droppedLogLines: b.counter("cicadacove.log.left_out", "{line}", "Log lines that were left out, by class"),
 	}
@@ -265,6 +269,22 @@
 	i.primaryLeaving.Record(context.Background(), longest.Seconds())
 }
 
+// FurtherLosses sets how many voters may still fail before control stops.
+func (i *Instruments) FurtherLosses(voters int) {
+	if i == nil {
+		return
+	}
+	i.furtherLosses.Record(context.Background(), int64(voters))
+}
+
+// DiskUnavailable sets how long the voter has waited for its data folder.
+func (i *Instruments) DiskUnavailable(waiting time.Duration) {
+	if i == nil {
+		return
+	}
+	i.diskUnavailable.Record(context.Background(), waiting.Seconds())
+}
+
 // ControlBytes counts bytes sent to other entry instances.
 func (i *Instruments) ControlBytes(n int) {
 	if i == nil {
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -267,6 +267,10 @@
 	if !slices.Equal(s.Members, v.loggedStatus.Members) {
 		klog.Infof("voter: members are now %v", s.Members)
 	}
+	if s.Role == replog.Leader && s.ActiveVoters != v.loggedStatus.ActiveVoters {
+		klog.InfoS("voter: active voters changed", "voter", s.ID, "active", s.ActiveVoters, "voters", len(s.Members.Voters()),
+			"further_losses", s.FurtherLosses())
+	}
 	if !slices.Equal(s.Waiting, v.loggedStatus.Waiting) {
 		klog.Infof("voter: waiting to join: %v", s.Waiting)
 	}
@@ -288,7 +292,7 @@
 	return a.Leader == b.Leader && a.LeaderAddr == b.LeaderAddr && a.Role == b.Role &&
 		a.Term == b.Term && a.Applied == b.Applied && a.Commit == b.Commit &&
 		a.LeaderSince.Equal(b.LeaderSince) && slices.Equal(a.Members, b.Members) &&
-		slices.Equal(a.Waiting, b.Waiting)
+		a.ActiveVoters == b.ActiveVoters && slices.Equal(a.Waiting, b.Waiting)
 }
 
 // stop sets the status to that of a voter that does not lead and fails all open
