control: epochs travel as differences, and members that join together share one

Cause: for each epoch, prepared and active, the leader sent all members and both complete epochs to all members: the square of the members for each join. A rolling restart of half of the instances was an epoch a join and a leave. Change: a voter keeps the latest steps of the epochs; a renewal names the epochs that the member holds and brings the steps after them, a publication the last four. The complete epochs go only to who lacks the base, to instances that just started and to those of the former version. The leader prepares an epoch at most every 2 ms a member (1 s at most). Result: TestReplicaFollowsTheMachine with lost, repeated and reordered publications, readers without steps and restored machines; TestMembersThatJoinTogetherShareAnEpoch (60 joins among 120 members: at most 5 epochs).

--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -179,6 +179,7 @@
 		Index:     a.controlState.Index,
 		Revision:  a.config.Revision(),
 		Confirmed: membership.ConfirmedEpoch(a.controlState.Epochs),
+		Epochs:    a.controlState.Epochs.Changed,
 	}
 	a.mu.Unlock()
 	if a.opts.Sessions != nil {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -60,6 +60,9 @@
 	failedTargets map[topo.GroupID][]topo.UpstreamID
 	// withoutSuccessor are the groups whose leaving primary nothing can replace.
 	withoutSuccessor map[topo.GroupID]bool
+	// preparedAt is when the leader last prepared an epoch. Only reconcileMembers
+	// uses it.
+	preparedAt time.Time
 	// drainChanged is closed when a member releases a lease.
 	drainChanged chan struct{}
 	// tickNow requests an immediate tick.
@@ -180,7 +183,7 @@
 	l.confirmed[req.Key] = max(l.confirmed[req.Key], req.Confirmed)
 	return ctlwire.Renewed{
 		Answer: ok,
-		Delta:  l.c.opts.State.Since(req.Index),
+		Delta:  l.c.opts.State.Since(ctlstate.Held{Index: req.Index, Epochs: req.Epochs}),
 		Config: l.c.opts.State.SectionDelta(req.Revision),
 		Voters: l.c.allVoters(),
 		Share:  membership.Share(req.Key, l.liveSessions(arrival)),
@@ -305,16 +308,15 @@
 	}
 }
 
-// publish sends all members the state of a group, or the members and epochs if g
-// is empty, without waiting for their next renewal.
+// publish sends all members the state of a group, or the latest changes of the
+// members and epochs if g is empty, without waiting for their next renewal. A member
+// that lacks more gets it with its next renewal.
 func (l *leadership) publish(ctx context.Context, g topo.GroupID) {
 	delta := ctlstate.Delta{}
 	if record, ok := l.c.opts.State.Group(g); ok {
 		delta.Groups = []ctlstate.GroupRecord{record}
 	} else {
-		e := l.c.opts.State.Epochs()
-		delta.Epochs = &e
-		delta.Members = l.c.opts.State.Members()
+		delta = l.c.opts.State.LatestEpochs()
 	}
 	l.publishToAll(ctx, delta)
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -16,9 +16,10 @@
 	for _, k := range gone {
 		l.remove(ctx, k)
 	}
-	step := membership.NextEpochStep(l.c.opts.State.Epochs(), candidates)
+	step := membership.NextEpochStep(l.c.opts.State.Epochs(), candidates, clock.Now().Sub(l.preparedAt))
 	switch {
 	case step.Prepare != nil:
+		l.preparedAt = clock.Now()
 		l.commit(ctx, ctlstate.Command{Prepare: &ctlstate.PrepareEpoch{Epoch: *step.Prepare}})
 		l.publish(ctx, "")
 	case step.Activate != 0:
--- a/internal/core/ctlmodel/controller_test.go
+++ b/internal/core/ctlmodel/controller_test.go
@@ -105,7 +105,7 @@
 			candidates[i].Confirmed = 1 << 60
 		}
 	}
-	step := membership.NextEpochStep(e, candidates)
+	step := membership.NextEpochStep(e, candidates, time.Hour)
 	switch {
 	case step.Prepare != nil:
 		c.propose(s, ctlstate.Command{Prepare: &ctlstate.PrepareEpoch{Epoch: *step.Prepare}})
@@ -249,7 +249,7 @@
 
 // handleRenewal handles an instance's lease renewal: the quorum round, then the
 // grant.
-func (c *controller) handleRenewal(s *simulation, e *entry, key ctlstate.MemberKey, index, confirmed uint64, sentAt time.Time) {
+func (c *controller) handleRenewal(s *simulation, e *entry, key ctlstate.MemberKey, held ctlstate.Held, confirmed uint64, sentAt time.Time) {
 	if !c.leading() {
 		return
 	}
@@ -260,13 +260,13 @@
 		}
 		s.send(c.node, func() {
 			if c.leading() && c.election == election {
-				c.grant(s, e, key, index, confirmed, arrival, sentAt)
+				c.grant(s, e, key, held, confirmed, arrival, sentAt)
 			}
 		})
 	})
 }
 
-func (c *controller) grant(s *simulation, e *entry, key ctlstate.MemberKey, index, confirmed uint64, arrival, sentAt time.Time) {
+func (c *controller) grant(s *simulation, e *entry, key ctlstate.MemberKey, held ctlstate.Held, confirmed uint64, arrival, sentAt time.Time) {
 	m, known := c.machine.Member(key)
 	if c.removing[key] || m.Superseded {
 		return
@@ -277,6 +277,6 @@
 	}
 	c.granter.Grant(key, arrival)
 	c.confirmed[key] = max(c.confirmed[key], confirmed)
-	delta := c.machine.Since(index)
+	delta := c.machine.Since(held)
 	s.sendControl(e.node, e.node, func() { e.handleGrant(s, key, delta, sentAt) })
 }
--- a/internal/core/ctlmodel/entry_test.go
+++ b/internal/core/ctlmodel/entry_test.go
@@ -73,8 +73,9 @@
 		})
 		return
 	}
-	sentAt, index, confirmed := e.node.clock(s), e.replica.Index, membership.ConfirmedEpoch(e.replica.Epochs)
-	s.sendControl(c.node, e.node, func() { c.handleRenewal(s, e, key, index, confirmed, sentAt) })
+	held := ctlstate.Held{Index: e.replica.Index, Epochs: e.replica.Epochs.Changed}
+	sentAt, confirmed := e.node.clock(s), membership.ConfirmedEpoch(e.replica.Epochs)
+	s.sendControl(c.node, e.node, func() { c.handleRenewal(s, e, key, held, confirmed, sentAt) })
 }
 
 func (e *entry) handleGrant(s *simulation, key ctlstate.MemberKey, delta ctlstate.Delta, sentAt time.Time) {
--- a/internal/core/ctlstate/machine.go
+++ b/internal/core/ctlstate/machine.go
@@ -31,6 +31,8 @@
 	mu      sync.Mutex
 	state   state
 	section Section
+	// epochs is not part of the replicated state.
+	epochs epochHistory
 }
 
 // state is the content of a snapshot.
@@ -74,7 +76,12 @@
 	if c.Section != nil {
 		return m.applySection(index, c.Section)
 	}
-	return encodeResult(Result{Refused: m.state.apply(index, c)})
+	before := m.state.Epochs
+	refused := m.state.apply(index, c)
+	if m.state.Epochs.Changed != before.Changed {
+		m.epochs.record(before, m.state.Epochs)
+	}
+	return encodeResult(Result{Refused: refused})
 }
 
 func (m *Machine) applySection(index uint64, data []byte) []byte {
@@ -128,6 +135,7 @@
 	}
 	s.Section = nil
 	m.state = s
+	m.epochs = epochHistory{base: s.Epochs.Changed}
 	return nil
 }
 
--- a/internal/core/ctlstate/machine_test.go
+++ b/internal/core/ctlstate/machine_test.go
@@ -99,24 +99,42 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l := newLogWithGroup(t)
 		r := NewReplica()
-		old := l.m.Since(0)
+		old, published := l.m.Since(Held{}), l.m.LatestEpochs()
+		asOldVersion := rapid.Bool().Draw(t, "reader without steps")
+		held := func() Held {
+			if asOldVersion {
+				return Held{Index: r.Index}
+			}
+			return Held{Index: r.Index, Epochs: r.Epochs.Changed}
+		}
+		history := map[uint64]Epochs{0: {}}
 		for range rapid.IntRange(1, 60).Draw(t, "commands") {
 			l.apply(t, drawCommand(t, l.m))
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			history[l.m.Epochs().Changed] = l.m.Epochs()
+			before := r.Epochs.Changed
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
 			case 0:
-				r.Apply(l.m.Since(r.Index), true)
+				r.Apply(l.m.Since(held()), true)
 			case 1:
 				r.Apply(old, false)
 			case 2:
-				old = l.m.Since(r.Index)
+				old = l.m.Since(held())
+			case 4, 5:
+				r.Apply(l.m.LatestEpochs(), false)
+			case 6:
+				published = l.m.LatestEpochs()
+			case 7:
+				r.Apply(published, false)
 			case 3:
 				data, err := l.m.Snapshot()
 				require.NoError(t, err)
 				l.m = NewMachine(nil)
 				require.NoError(t, l.m.Restore(data))
 			}
+			require.GreaterOrEqual(t, r.Epochs.Changed, before, "epochs never go back")
+			require.True(t, sameEpochs(history[r.Epochs.Changed], r.Epochs), "epochs that the machine never had")
 		}
-		r.Apply(l.m.Since(r.Index), true)
+		r.Apply(l.m.Since(held()), true)
 		record, _ := l.m.Group(g)
 		require.Equal(t, record, *r.Groups[g])
 		require.Equal(t, l.m.Epochs(), r.Epochs)
--- a/internal/core/ctlstate/read.go
+++ b/internal/core/ctlstate/read.go
@@ -15,16 +15,28 @@
 	Index   uint64         `msgpack:"i"`
 	Groups  []GroupRecord  `msgpack:"g,omitempty"`
 	Members []MemberRecord `msgpack:"m,omitempty"`
-	Epochs  *Epochs        `msgpack:"e,omitempty"`
+	// Epochs are the complete epochs, for a reader that lacks the base of
+	// EpochSteps.
+	Epochs     *Epochs     `msgpack:"e,omitempty"`
+	EpochSteps *EpochSteps `msgpack:"es,omitempty"`
 	// Full marks a delta that lists all members and groups.
 	Full bool `msgpack:"w,omitempty"`
 }
 
-// Since returns the changes after index.
-func (m *Machine) Since(index uint64) Delta {
+// Held is what a reader already holds.
+type Held struct {
+	// Index is the log index up to which it has all changes.
+	Index uint64
+	// Epochs is the log index of the latest change of the epochs that it has,
+	// zero if it takes only complete epochs.
+	Epochs uint64
+}
+
+// Since returns the changes that the reader lacks.
+func (m *Machine) Since(held Held) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := &m.state
+	s, index := &m.state, held.Index
 	d := Delta{Index: s.Applied, Full: s.removalsTruncated(index)}
 	if d.Full {
 		index = 0
@@ -36,11 +48,41 @@
 	}
 	slices.SortFunc(d.Groups, func(a, b GroupRecord) int { return cmp.Compare(a.ID, b.ID) })
 	d.Members = s.membersSince(index, d.Full)
-	if s.Epochs.Changed > index {
-		e := s.Epochs.clone()
+	m.addEpochs(&d, held)
+	return d
+}
+
+// addEpochs adds the changes of the epochs that the reader lacks. The caller holds
+// m.mu.
+func (m *Machine) addEpochs(d *Delta, held Held) {
+	changed := m.state.Epochs.Changed
+	if held.Epochs == 0 && changed > held.Index || held.Epochs > changed {
+		e := m.state.Epochs.clone()
 		d.Epochs = &e
+		return
 	}
-	return d
+	if held.Epochs == 0 || held.Epochs == changed {
+		return
+	}
+	if steps, ok := m.epochs.since(held.Epochs); ok {
+		d.EpochSteps = &steps
+		return
+	}
+	e := m.state.Epochs.clone()
+	d.Epochs = &e
+}
+
+// publishedSteps is the number of the latest changes of the epochs that a
+// publication repeats, so that a reader may miss some publications.
+const publishedSteps = 4
+
+// LatestEpochs returns the latest changes of the epochs and the members that
+// changed with them, for readers that lack little.
+func (m *Machine) LatestEpochs() Delta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	steps := m.epochs.latest(publishedSteps)
+	return Delta{EpochSteps: &steps, Members: m.state.membersSince(steps.Base, false)}
 }
 
 // removalsTruncated reports whether records of members removed after index may
--- a/internal/core/ctlstate/replica.go
+++ b/internal/core/ctlstate/replica.go
@@ -40,16 +40,26 @@
 	if d.Full && complete && d.Index >= r.Index {
 		r.dropMissing(d)
 	}
-	if d.Epochs != nil && d.Epochs.Changed > r.Epochs.Changed {
-		r.Epochs = *d.Epochs
-		changed = true
-	}
+	changed = r.applyEpochs(d) || changed
 	if complete && d.Index > r.Index {
 		r.Index = d.Index
 	}
 	return changed
 }
 
+// applyEpochs applies changes of the epochs. It drops older epochs, and steps that do
+// not continue from the current ones.
+func (r *Replica) applyEpochs(d Delta) bool {
+	before := r.Epochs.Changed
+	if d.Epochs != nil && d.Epochs.Changed > r.Epochs.Changed {
+		r.Epochs = *d.Epochs
+	}
+	if d.EpochSteps != nil {
+		r.Epochs, _ = d.EpochSteps.Apply(r.Epochs)
+	}
+	return r.Epochs.Changed != before
+}
+
 func (r *Replica) applyGroup(g *GroupRecord) bool {
 	if old, ok := r.Groups[g.ID]; ok && old.Changed >= g.Changed {
 		return false
--- a/internal/core/membership/epochs.go
+++ b/internal/core/membership/epochs.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 )
@@ -25,15 +26,33 @@
 	Activate uint64
 }
 
+const (
+	// prepareIntervalPerMember and maxPrepareInterval determine how often an epoch
+	// is prepared. Each one costs a message to every member, so that the members that
+	// join or leave within the interval share one.
+	prepareIntervalPerMember = 2 * time.Millisecond
+	maxPrepareInterval       = time.Second
+)
+
+// PrepareInterval returns the minimum time between the preparation of two epochs
+// for the given number of members.
+func PrepareInterval(members int) time.Duration {
+	return min(time.Duration(members)*prepareIntervalPerMember, maxPrepareInterval)
+}
+
 // NextEpochStep compares the live members with the epochs. The leader activates a
 // prepared epoch only when no member can use an earlier one: each member has
-// confirmed it or holds no lease.
-func NextEpochStep(e ctlstate.Epochs, members []MemberStatus) EpochStep {
+// confirmed it or holds no lease. sincePrepared is the time since the leader last
+// prepared an epoch.
+func NextEpochStep(e ctlstate.Epochs, members []MemberStatus, sincePrepared time.Duration) EpochStep {
 	latest := e.Active
 	if e.Next != nil {
 		latest = *e.Next
 	}
 	live := liveKeys(members)
+	if !slices.Equal(live, latest.Members) && sincePrepared < PrepareInterval(len(members)) {
+		return EpochStep{}
+	}
 	if !slices.Equal(live, latest.Members) {
 		return EpochStep{Prepare: &ctlstate.Epoch{Number: latest.Number + 1, Members: live}}
 	}
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -107,17 +108,17 @@
 		{Key: k("e1"), Live: true, Held: true, Confirmed: 2},
 		{Key: k("e2"), Live: false, Held: true, Confirmed: 1},
 	}
-	require.Equal(t, EpochStep{Prepare: &next}, NextEpochStep(ctlstate.Epochs{Active: active}, members))
+	require.Equal(t, EpochStep{Prepare: &next}, NextEpochStep(ctlstate.Epochs{Active: active}, members, time.Hour))
 	prepared := ctlstate.Epochs{Active: active, Next: &next}
-	require.Equal(t, EpochStep{}, NextEpochStep(prepared, members), "e2 may still use epoch 1")
+	require.Equal(t, EpochStep{}, NextEpochStep(prepared, members, time.Hour), "e2 may still use epoch 1")
 	members[1].Held = false
-	require.Equal(t, EpochStep{Activate: 2}, NextEpochStep(prepared, members))
+	require.Equal(t, EpochStep{Activate: 2}, NextEpochStep(prepared, members, time.Hour))
 	require.False(t, UsableEpoch(prepared, k("e1")))
 	require.Equal(t, uint64(2), ConfirmedEpoch(prepared))
 	done := ctlstate.Epochs{Active: next}
 	require.True(t, UsableEpoch(done, k("e1")))
 	require.False(t, UsableEpoch(done, k("e2")))
-	require.Equal(t, EpochStep{}, NextEpochStep(done, members))
+	require.Equal(t, EpochStep{}, NextEpochStep(done, members, time.Hour))
 }
 
 func TestLeavingSinceIsTheEarliestReceiptOfTheIncarnation(t *testing.T) {
@@ -134,3 +135,33 @@
 	k, _ = r.Get(leaving.Group, leaving.ID)
 	require.Zero(t, k.LeavingFor(start.Add(6*time.Second)), "a later incarnation does not leave")
 }
+
+// A restart of many members is a few epochs, not one for each.
+func TestMembersThatJoinTogetherShareAnEpoch(t *testing.T) {
+	const members, joining, interval = 120, 60, 10 * time.Millisecond
+	var status []MemberStatus
+	for i := range members {
+		status = append(status, MemberStatus{Key: ctlstate.MemberKey{ID: topo.InstanceID(fmt.Sprintf("e%03d", i)), Incarnation: 1}, Live: i >= joining, Held: true})
+	}
+	var e ctlstate.Epochs
+	prepared, last := 0, -time.Hour
+	for now := time.Duration(0); now < 3*time.Second; now += interval {
+		if i := int(now / interval); i < joining {
+			status[i].Live = true
+		}
+		step := NextEpochStep(e, status, now-last)
+		if step.Prepare != nil {
+			e.Next, last = step.Prepare, now
+			prepared++
+		}
+		if step.Activate != 0 {
+			e.Active, e.Next = *e.Next, nil
+		}
+		for i := range status {
+			status[i].Confirmed = ConfirmedEpoch(e)
+		}
+	}
+	require.Len(t, e.Active.Members, members)
+	require.Nil(t, e.Next)
+	require.LessOrEqual(t, prepared, 5)
+}
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -71,6 +71,9 @@
 	Revision uint64 `msgpack:"r"`
 	// Confirmed is the epoch that the member confirms.
 	Confirmed uint64 `msgpack:"c"`
+	// Epochs is the log index of the latest change of the epochs that the member
+	// has applied. Zero requests the complete epochs.
+	Epochs uint64 `msgpack:"e,omitempty"`
 	// Sessions is the number of callers that the member serves.
 	Sessions int `msgpack:"n,omitempty"`
 }
