control: a publication carries the latest step of the epochs only

Cause: the last four steps repeat the large ones of a mass join to all members for every later join.

--- a/internal/core/ctlstate/epochs.go
+++ b/internal/core/ctlstate/epochs.go
@@ -133,9 +133,9 @@
 	return EpochSteps{Base: index, Steps: slices.Clone(h.steps[first:])}, true
 }
 
-// latest returns the last n steps.
-func (h *epochHistory) latest(n int) EpochSteps {
-	first := max(len(h.steps)-n, 0)
+// latest returns the last step.
+func (h *epochHistory) latest() EpochSteps {
+	first := max(len(h.steps)-1, 0)
 	base := h.base
 	if first > 0 {
 		base = h.steps[first-1].Index
--- a/internal/core/ctlstate/read.go
+++ b/internal/core/ctlstate/read.go
@@ -72,16 +72,12 @@
 	d.Epochs = &e
 }
 
-// publishedSteps is the number of the latest changes of the epochs that a
-// publication repeats, so that a reader may miss some publications.
-const publishedSteps = 4
-
-// LatestEpochs returns the latest changes of the epochs and the members that
-// changed with them, for readers that lack little.
+// LatestEpochs returns the latest change of the epochs and the members that changed
+// since the one before, for readers that lack nothing else.
 func (m *Machine) LatestEpochs() Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	steps := m.epochs.latest(publishedSteps)
+	steps := m.epochs.latest()
 	return Delta{EpochSteps: &steps, Members: m.state.membersSince(steps.Base, false)}
 }
 
