spread: members get unchanged announcements rarely, and a new instance asks few others

Cause: each heartbeat of an upstream went on to every instance within 100 ms: at 60 databases and 118 instances 5,900 messages a second, whose content had not changed. An instance that starts asked all others for all announcements. A new instance asks the voters and three others.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -174,7 +174,7 @@
 		lastServed:     map[topo.GroupID]time.Time{},
 		probeRequested: map[topo.GroupID]bool{},
 		evidence:       spread.NewOutbox[reportKey](spread.Latest[bool]),
-		outgoing:       spread.NewAnnouncements(opts.Now),
+		outgoing:       spread.NewAnnouncements(opts.Now, 0),
 	}
 	a.leaseState = a.chart.Initial
 	a.incarnation.Store(opts.Self.Incarnation)
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -83,7 +83,11 @@
 	}
 }
 
-// learnUpstreams fetches all announcements from the other instances and the voters.
+// upstreamSources is the number of other instances from which a new process fetches
+// all announcements, besides the voters.
+const upstreamSources = 3
+
+// learnUpstreams fetches all announcements from the voters and a few other instances.
 // A new process needs them to recognise stale announcements before it accepts any.
 func (a *Agent) learnUpstreams() {
 	ctx, cancel := context.WithTimeout(context.Background(), a.timing.Lease)
@@ -101,10 +105,8 @@
 			return nil
 		})
 	}
-	for _, m := range a.Members() {
-		if m.ID != a.opts.Self.ID {
-			fetch(m.PeerAddr, ctlwire.KindListUpstreams)
-		}
+	for _, m := range membership.Peers(a.opts.Self.ID, a.Members(), upstreamSources) {
+		fetch(m.PeerAddr, ctlwire.KindListUpstreams)
 	}
 	for _, addr := range a.Voters() {
 		fetch(addr, ctlwire.KindListAnnouncements)
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -51,7 +51,8 @@
 	outcome := c.registry.Receive(a, now)
 	if outcome.Accepted() {
 		k, _ := c.registry.Get(a.Group, a.ID)
-		c.outgoing.Add(k, outcome == membership.Updated)
+		c.toVoters.Add(k, outcome == membership.Updated)
+		c.toMembers.Add(k, outcome == membership.Updated)
 	}
 	return outcome
 }
@@ -127,15 +128,20 @@
 	return true
 }
 
-// forward sends announcements to the other voters and to all members without
-// waiting for responses.
-func (c *Controller) forward(ctx context.Context, batch ctlwire.Announcements) {
+// forwardToVoters sends announcements to the other voters without waiting for
+// responses.
+func (c *Controller) forwardToVoters(ctx context.Context, batch ctlwire.Announcements) {
 	if l := c.leadership(); l != nil {
 		l.recordAnnouncements(batch)
 	}
 	for _, addr := range c.otherVoters() {
 		go c.notify(ctx, addr, ctlwire.KindAnnouncements, batch)
 	}
+}
+
+// forwardToMembers sends announcements to all members without waiting for
+// responses.
+func (c *Controller) forwardToMembers(ctx context.Context, batch ctlwire.Announcements) {
 	for _, m := range c.opts.State.Members() {
 		if !m.Superseded {
 			go c.notify(ctx, m.PeerAddr, ctlwire.KindAnnounce, batch)
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -85,20 +85,21 @@
 
 	mu      sync.Mutex
 	current *leadership
-	// registry holds all announcements made to any voter; outgoing holds those
-	// still to be forwarded.
+	// registry holds all announcements made to any voter.
 	registry *membership.Registry
-	outgoing *spread.Announcements
+	// toVoters and toMembers hold the announcements that are still to be forwarded.
+	toVoters, toMembers *spread.Announcements
 }
 
 // New returns a controller and registers its handlers with the server.
 func New(opts Options) *Controller {
 	c := &Controller{
-		opts:     opts,
-		timing:   opts.Timing.WithDefaults(),
-		db:       opts.Databases,
-		chart:    failover.LoadChart(charts.Read("failover.toml")),
-		outgoing: spread.NewAnnouncements(clock.Now),
+		opts:      opts,
+		timing:    opts.Timing.WithDefaults(),
+		db:        opts.Databases,
+		chart:     failover.LoadChart(charts.Read("failover.toml")),
+		toVoters:  spread.NewAnnouncements(clock.Now, 0),
+		toMembers: spread.NewAnnouncements(clock.Now, opts.Timing.Refresh),
 	}
 	c.registry = membership.NewRegistry(c.timing.AnnouncementTTL)
 	c.handle(opts.Server)
@@ -108,7 +109,8 @@
 // Run serves until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	defer c.db.Close()
-	go func() { _ = c.outgoing.Run(ctx, func(batch ctlwire.Announcements) { c.forward(ctx, batch) }) }()
+	go func() { _ = c.toVoters.Run(ctx, func(batch ctlwire.Announcements) { c.forwardToVoters(ctx, batch) }) }()
+	go func() { _ = c.toMembers.Run(ctx, func(batch ctlwire.Announcements) { c.forwardToMembers(ctx, batch) }) }()
 	for ctx.Err() == nil {
 		changed := c.opts.Log.Changed()
 		status := c.opts.Log.Status()
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -165,3 +165,24 @@
 	require.Nil(t, e.Next)
 	require.LessOrEqual(t, prepared, 5)
 }
+
+func TestPeersAreFewAndSpread(t *testing.T) {
+	var members []ctlstate.Member
+	for i := range 120 {
+		members = append(members, ctlstate.Member{ID: topo.InstanceID(fmt.Sprintf("e%03d", i))})
+	}
+	asked := map[topo.InstanceID]int{}
+	for _, m := range members {
+		peers := Peers(m.ID, members, 3)
+		require.Len(t, peers, 3)
+		for _, p := range peers {
+			require.NotEqual(t, m.ID, p.ID)
+			asked[p.ID]++
+		}
+	}
+	for id, n := range asked {
+		require.LessOrEqual(t, n, 12, id)
+	}
+	require.Empty(t, Peers("e000", members[:1], 3))
+	require.Len(t, Peers("e000", members[:2], 3), 1)
+}
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -35,6 +35,13 @@
 	return ranked[:min(n, len(ranked))]
 }
 
+// Peers returns n members other than self. Different instances get different ones,
+// so that no member is asked by all.
+func Peers(self topo.InstanceID, members []ctlstate.Member, n int) []ctlstate.Member {
+	others := slices.DeleteFunc(slices.Clone(members), func(m ctlstate.Member) bool { return m.ID == self })
+	return Rendezvous(string(self), others, n)
+}
+
 func score(key string, id topo.InstanceID) uint64 {
 	return xxhash.Sum64String(string(id) + "\x00" + key)
 }
--- a/internal/ctlwire/timing.go
+++ b/internal/ctlwire/timing.go
@@ -35,6 +35,10 @@
 	Minority time.Duration
 	// AnnouncementTTL is how long an announcement of an upstream is valid.
 	AnnouncementTTL time.Duration
+	// Refresh is how long a voter may wait before it forwards an announcement
+	// without a change to the members; zero means that it hardly waits. It must be
+	// well below AnnouncementTTL.
+	Refresh time.Duration
 	// CandidateMaxAge is the greatest age of its announcement at which an upstream is
 	// preferred as the next primary.
 	CandidateMaxAge time.Duration
--- a/internal/spread/announcements.go
+++ b/internal/spread/announcements.go
@@ -34,14 +34,16 @@
 // Announcements batches the announcements that this process received from
 // upstreams, to send them to other processes.
 type Announcements struct {
-	now func() time.Time
-	out *Outbox[upstreamKey, pending]
+	now      func() time.Time
+	interval time.Duration
+	out      *Outbox[upstreamKey, pending]
 }
 
 // NewAnnouncements returns empty Announcements. now is the clock of the times at
-// which announcements were received.
-func NewAnnouncements(now func() time.Time) *Announcements {
-	return &Announcements{now, NewOutbox[upstreamKey](mergePending)}
+// which announcements were received. Announcements without a change wait for up to
+// interval, zero means batchInterval.
+func NewAnnouncements(now func() time.Time, interval time.Duration) *Announcements {
+	return &Announcements{now, max(interval, batchInterval), NewOutbox[upstreamKey](mergePending)}
 }
 
 // mergePending merges two announcements of one upstream in the outbox.
@@ -50,26 +52,32 @@
 	return next
 }
 
-// Add queues an announcement. A change is sent at once and in full. One that says
-// that the upstream leaves is always sent in full: a receiver that missed the first
-// must learn of it in time.
+// Add queues an announcement. A change is sent at once and in full, and so is each
+// announcement that says that the upstream leaves: a receiver that missed the first
+// must learn of it in time. Where the others wait for several of the upstream's
+// announcements, they are sent in full too, since they are few and receivers may
+// have missed a change.
 func (a *Announcements) Add(k membership.KnownUpstream, changed bool) {
-	full := changed || k.Leaving || k.Seq%fullAnnouncementEvery == 0
-	a.out.Add(upstreamKey{k.Group, k.ID}, pending{k, full}, changed)
+	rare := a.interval > batchInterval
+	full := changed || k.Leaving || rare || k.Seq%fullAnnouncementEvery == 0
+	a.out.Add(upstreamKey{k.Group, k.ID}, pending{k, full}, changed || k.Leaving)
 }
 
 // Run passes batches to send until ctx ends. send must not block.
 func (a *Announcements) Run(ctx context.Context, send func(ctlwire.Announcements)) error {
-	ticker := time.NewTicker(batchInterval)
+	ticker := time.NewTicker(a.interval)
 	defer ticker.Stop()
 	for {
+		taken := map[upstreamKey]pending{}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			taken = a.out.Take()
 		case <-a.out.Urgent():
+			taken = a.out.TakeUrgent()
 		}
-		if taken := a.out.Take(); len(taken) > 0 {
+		if len(taken) > 0 {
 			send(batchOf(taken, a.now()))
 		}
 	}
--- a/internal/spread/outbox.go
+++ b/internal/spread/outbox.go
@@ -12,11 +12,13 @@
 
 	mu      sync.Mutex
 	pending map[K]V
+	// urgentKeys are the keys of the urgent messages among pending.
+	urgentKeys map[K]bool
 }
 
 // NewOutbox returns an empty outbox.
 func NewOutbox[K comparable, V any](merge func(old, next V) V) *Outbox[K, V] {
-	return &Outbox[K, V]{merge: merge, pending: map[K]V{}, urgent: make(chan struct{}, 1)}
+	return &Outbox[K, V]{merge: merge, pending: map[K]V{}, urgentKeys: map[K]bool{}, urgent: make(chan struct{}, 1)}
 }
 
 // Latest is a merge function that drops the earlier message.
@@ -33,6 +35,9 @@
 		value = o.merge(old, value)
 	}
 	o.pending[key] = value
+	if urgent {
+		o.urgentKeys[key] = true
+	}
 	o.mu.Unlock()
 	if !urgent {
 		return
@@ -48,6 +53,19 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	taken := o.pending
-	o.pending = map[K]V{}
+	o.pending, o.urgentKeys = map[K]V{}, map[K]bool{}
+	return taken
+}
+
+// TakeUrgent removes and returns the urgent messages.
+func (o *Outbox[K, V]) TakeUrgent() map[K]V {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	taken := make(map[K]V, len(o.urgentKeys))
+	for key := range o.urgentKeys {
+		taken[key] = o.pending[key]
+		delete(o.pending, key)
+	}
+	o.urgentKeys = map[K]bool{}
 	return taken
 }
