engine: a zone's sampler asks the primaries for their positions, the others ask it

Cause: each instance asked each primary twice in the lowest maximum age for its position, and a read that found none asked all other instances: at 118 instances and 20 groups up to 3,100 questions a second at the primaries, each on a connection of its own, and 117 messages for each first read. Change: in zones of four instances or more one, by rendezvous hash, asks the primaries more often, and the others get all positions from it in one message inside the zone. Who gets no recent one asks the primary itself, as before. A read that waits asks the sampler, three others and the primary. Ages count from the send of the question, as before. Result: TestZoneAsksThePrimaryThroughItsSampler: a quarter or less of the questions of 20 instances, every read served; TestReadsGoOnWithoutTheSampler.

--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -42,6 +42,20 @@
 	return Rendezvous(string(self), others, n)
 }
 
+// minSampledZone is the number of instances from which on an availability zone has a
+// sampler: among fewer, each one asking for itself costs hardly more.
+const minSampledZone = 4
+
+// Sampler returns the member of an availability zone that queries primaries for their
+// positions on behalf of the zone. ok is false if each member queries for itself.
+func Sampler(zone topo.Zone, members []ctlstate.Member) (m ctlstate.Member, ok bool) {
+	local := slices.DeleteFunc(slices.Clone(members), func(m ctlstate.Member) bool { return m.Zone != zone })
+	if len(local) < minSampledZone {
+		return ctlstate.Member{}, false
+	}
+	return Rendezvous(string(zone), local, 1)[0], true
+}
+
 func score(key string, id topo.InstanceID) uint64 {
 	return xxhash.Sum64String(string(id) + "\x00" + key)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -49,6 +49,9 @@
 	// statements that a busy upstream refused.
 	retries      retryBudget
 	serviceTimes serviceTimes
+	// sampledForOthersAt is when another instance last asked this one for the
+	// positions of primaries; nil means never.
+	sampledForOthersAt atomic.Pointer[time.Time]
 }
 
 // New returns an Engine with the given options.
@@ -159,12 +162,7 @@
 			gt.SetConnections(limit) // the gate orders requests by rank, the pool only by arrival
 		}
 	})
-	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
-		if !g.StartSampleAfter(sampleAgeShare, clock.Now()) {
-			return
-		}
-		go e.sample(ctx, id, g)
-	})
+	e.samplePositions(ctx, clock.Now())
 }
 
 // maxSampleWait bounds a read's wait for the primary's position. Without the
--- a/internal/engine/positions.go
+++ b/internal/engine/positions.go
@@ -12,8 +12,12 @@
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
 
-// kindPosition is the request kind of a query for a primary's position.
-const kindPosition = "engine.position"
+// Request kinds: a query for one primary's position, and one for the positions of
+// all primaries that the instance samples.
+const (
+	kindPosition  = "engine.position"
+	kindPositions = "engine.positions"
+)
 
 type positionRequest struct {
 	Group topo.GroupID `msgpack:"g"`
@@ -31,8 +35,11 @@
 type Peers struct {
 	Client *peer.Client
 	Server *peer.Server
-	// Others returns the addresses of the other instances.
+	// Others returns the addresses of some other instances.
 	Others func() []string
+	// Sampler returns the address of the instance that samples the positions of
+	// primaries for this one, empty if there is none; nil means that there is none.
+	Sampler func() string
 }
 
 func (e *Engine[C]) handlePeers() {
@@ -43,6 +50,7 @@
 		p, at, known := e.groups.Get(req.Group).LatestSample()
 		return positionReply{Known: known, Point: p, Age: clock.Since(at)}, nil
 	})
+	peer.Handle(e.opts.Peers.Server, kindPositions, e.onPositions)
 }
 
 // queryPeers queries the other instances for a primary's position. The age in the
--- a/internal/groupstate/positions.go
+++ b/internal/groupstate/positions.go
@@ -16,14 +16,33 @@
 func (g *Group) StartSampleAfter(share float64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	due := g.tracker.LatestSampleSentAt().Add(time.Duration(share * float64(g.minMaxAge)))
-	if g.sampling || g.minMaxAge <= 0 || now.Sub(g.lastRead) > activeWindow || now.Before(due) {
+	if g.sampling || !g.sampleDue(share, now) {
 		return false
 	}
 	g.sampling = true
 	return true
 }
 
+// SampleDue reports whether StartSampleAfter would, but for a running sample.
+func (g *Group) SampleDue(share float64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sampleDue(share, now)
+}
+
+// sampleDue is SampleDue for callers that hold g.mu.
+func (g *Group) sampleDue(share float64, now time.Time) bool {
+	due := g.tracker.LatestSampleSentAt().Add(time.Duration(share * float64(g.minMaxAge)))
+	return g.minMaxAge > 0 && now.Sub(g.lastRead) <= activeWindow && !now.Before(due)
+}
+
+// MinMaxAge returns the lowest maximum age of the group's recent reads.
+func (g *Group) MinMaxAge() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.minMaxAge
+}
+
 // StartFirstSample reports whether the caller must query the primary's position
 // and then call EndSample, because the position is not known for maxAge and no
 // query is running.
