agent: an instance without a lease asks a new leader at once

Change: the announcement of a leader that the instance does not know ends the attempt and starts one with the leader.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -126,8 +126,9 @@
 	// is fixed once wasRegistered is set.
 	incarnation   atomic.Uint64
 	wasRegistered bool
-	// wake ends the delay before the next renewal.
-	wake chan struct{}
+	// wake ends the delay before the next renewal; leaderFound also ends a renewal
+	// that is in progress.
+	wake, leaderFound chan struct{}
 	// relayAddr is the voter that has relayed requests to an unreachable leader
 	// since relaySince; empty while the leader answers directly.
 	relayAddr  string
@@ -170,6 +171,7 @@
 		contracts:      &contracts{revision.NewApplier()},
 		changed:        make(chan struct{}),
 		wake:           make(chan struct{}, 1),
+		leaderFound:    make(chan struct{}, 1),
 		sentReports:    map[reportKey]sentReport{},
 		lastServed:     map[topo.GroupID]time.Time{},
 		probeRequested: map[topo.GroupID]bool{},
--- a/internal/agent/handlers.go
+++ b/internal/agent/handlers.go
@@ -52,7 +52,10 @@
 		a.notify()
 	}
 	if req.Leader != "" && !a.holder.Valid(a.now()) {
-		a.leader = req.Leader
+		if a.leader != req.Leader {
+			a.leader = req.Leader
+			signal(a.leaderFound)
+		}
 		a.wakeRenewal()
 	}
 	return ctlwire.Published{
--- /dev/null
+++ b/internal/agent/leader_test.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
+	"github.com/cicadacove/cicadacove/internal/ctlwire"
+	"github.com/cicadacove/cicadacove/internal/peer"
+)
+
+// After a restart of everything, an instance asks voters of which some do not answer
+// yet. Once one of them leads and says so, the instance must not go on waiting for
+// the others.
+func TestAnnouncedLeaderIsAskedAtOnce(t *testing.T) {
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { ln.Close() })
+		return ln
+	}
+	silent, leaderLn := listen(), listen()
+	var leads atomic.Bool
+	registered := make(chan time.Time, 1)
+	voter := peer.NewServer(peer.Options{})
+	asked := make(chan struct{}, 16)
+	peer.Handle(voter, ctlwire.KindRegister, func(context.Context, ctlwire.Register) (ctlwire.Answer, error) {
+		if !leads.Load() {
+			asked <- struct{}{}
+			return ctlwire.Answer{Status: ctlwire.NotLeader}, nil
+		}
+		registered <- time.Now()
+		return ctlwire.Answer{Status: ctlwire.Failed}, nil
+	})
+	go func() { _ = voter.Serve(leaderLn) }()
+	t.Cleanup(func() { _ = voter.Close() })
+
+	a := newAgent(t, nil)
+	a.opts.Client = peer.NewClient(peer.Options{})
+	t.Cleanup(a.opts.Client.Close)
+	a.voters = []string{silent.Addr().String(), leaderLn.Addr().String()}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = a.renewLoop(ctx) }()
+	<-asked
+	leads.Store(true)
+	announced := time.Now()
+	_, err := a.onPublish(ctx, ctlwire.Publish{Delta: ctlstate.Delta{}, Leader: leaderLn.Addr().String()})
+	require.NoError(t, err)
+	require.Less(t, (<-registered).Sub(announced), a.timing.Call/4, "it asks the leader without waiting for the silent voter")
+}
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -77,7 +78,11 @@
 	backoff := initialBackoff
 	for {
 		delay := a.timing.Renew
-		if err := a.registerOrRenew(ctx); err != nil {
+		err := a.attemptRenewal(ctx)
+		if errors.Is(err, errLeaderFound) {
+			continue
+		}
+		if err != nil {
 			klog.V(2).Infof("agent: %s: failed to register or to renew the lease: %v", a.opts.Self.ID, err)
 			delay = jitter(backoff)
 			backoff = min(2*backoff, a.maxBackoff())
@@ -90,6 +95,27 @@
 	}
 }
 
+// errLeaderFound ends an attempt to get a lease because a leader announced itself
+// meanwhile. The attempt may wait for voters that do not answer.
+var errLeaderFound = errors.New("agent: a leader has announced itself")
+
+// attemptRenewal registers or renews. It returns errLeaderFound as soon as a new
+// leader announces itself.
+func (a *Agent) attemptRenewal(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan error, 1)
+	go func() { done <- a.registerOrRenew(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-a.leaderFound:
+		cancel(errLeaderFound)
+		<-done
+		return errLeaderFound
+	}
+}
+
 // sleep waits until the delay is over or wakeRenewal is called. It returns false if
 // ctx ends.
 func (a *Agent) sleep(ctx context.Context, delay time.Duration) bool {
@@ -105,9 +131,12 @@
 }
 
 // wakeRenewal starts the next renewal at once.
-func (a *Agent) wakeRenewal() {
+func (a *Agent) wakeRenewal() { signal(a.wake) }
+
+// signal sends to a channel with a buffer of one, unless a value waits there.
+func signal(c chan<- struct{}) {
 	select {
-	case a.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
