--- a/internal/spread/announcements.go
+++ b/internal/spread/announcements.go
@@ -68,7 +68,7 @@
 	ticker := time.NewTicker(a.interval)
 	defer ticker.Stop()
 	for {
-		taken := map[upstreamKey]pending{}
+		var taken map[upstreamKey]pending
 		select {
 		case <-ctx.Done():
 			return nil
