pool: the only connection of an instance stays idle for longer

Opening takes 12 ms of one of four slots. Change: where an instance may hold one connection only, it closes it after 4 s. Longer would leave too few of the database's connections to instances that come back after a power loss.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -126,10 +126,6 @@
 const (
 	// maintainInterval is the interval of pool maintenance and position sampling.
 	maintainInterval = 100 * time.Millisecond
-	// connIdleTimeout is how long a connection may stay idle. After a power loss of
-	// an instance, an upstream still counts the instance's old connections for
-	// some seconds, and the restarted instance needs room for new ones.
-	connIdleTimeout = 2 * time.Second
 	// positionTimeout bounds a query for the primary's position.
 	positionTimeout = 500 * time.Millisecond
 	// sampleAgeShare is the fraction of the lowest maximum age after which the
@@ -154,10 +150,10 @@
 
 func (e *Engine[C]) maintain(ctx context.Context) {
 	e.pools.Each(func(id topo.UpstreamID, m *connpool.Member[*pooledConn[C]]) {
-		m.Reap(time.Now(), connIdleTimeout)
-		m.Retry(time.Now())
 		limit := e.connectionShare(m.Upstream())
 		m.SetLimit(limit)
+		m.Reap(time.Now(), pool.IdleTimeout(limit))
+		m.Retry(time.Now())
 		if gt, used := e.groups.GateOf(id); used {
 			gt.SetConnections(limit) // the gate orders requests by rank, the pool only by arrival
 		}
