control: repeated registrations share one log entry, and few voters relay at once

Change: a member that is registered is answered without an entry, concurrent copies wait for one; two random voters are asked to relay, not all; the leader computes the live sessions ten times a second, not for each renewal.

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -76,9 +77,23 @@
 	a.relayAddr, a.relaySince = addr, a.now()
 }
 
-// callViaAnyVoter asks all voters in parallel to relay the request.
+// maxRelays is the number of voters that are asked at once to relay a request. A
+// leader that is overloaded must not get every request from all voters.
+const maxRelays = 2
+
+// relayCandidates returns the voters to ask to relay a request, in random order, so
+// that repeated attempts reach all of them.
+func (a *Agent) relayCandidates() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	addrs := slices.DeleteFunc(slices.Clone(a.voters), func(addr string) bool { return addr == a.leader })
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs[:min(len(addrs), maxRelays)]
+}
+
+// callViaAnyVoter asks some voters in parallel to relay the request.
 func callViaAnyVoter[Rep response](ctx context.Context, a *Agent, kind string, request any) (Rep, error) {
-	addrs := a.Voters()
+	addrs := a.relayCandidates()
 	replies := make(chan reply[Rep], len(addrs))
 	for _, addr := range addrs {
 		go func() {
--- a/internal/agent/leader_test.go
+++ b/internal/agent/leader_test.go
@@ -54,3 +54,22 @@
 	require.NoError(t, err)
 	require.Less(t, (<-registered).Sub(announced), a.timing.Call/4, "it asks the leader without waiting for the silent voter")
 }
+
+// An overloaded leader must not get each request from all voters. Repeated attempts
+// reach every voter, since some of them may be unreachable too.
+func TestRequestsAreRelayedByFewVotersAtOnce(t *testing.T) {
+	a := newAgent(t, nil)
+	a.voters, a.leader = []string{"v1", "v2", "v3", "v4", "v5"}, "v1"
+	asked := map[string]int{}
+	for range 40 {
+		candidates := a.relayCandidates()
+		require.Len(t, candidates, maxRelays)
+		for _, addr := range candidates {
+			asked[addr]++
+		}
+	}
+	require.Len(t, asked, 4)
+	require.Zero(t, asked["v1"], "the leader itself relays nothing")
+	a.voters = []string{"v1", "v2"}
+	require.Equal(t, []string{"v2"}, a.relayCandidates())
+}
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -7,7 +7,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cicadacove/cicadacove/internal/clock"
-	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
@@ -40,7 +39,8 @@
 	if l == nil {
 		return c.notLeader(), nil
 	}
-	_, err := c.propose(ctx, ctlstate.Command{Register: &ctlstate.Register{Member: req.Member}})
+	// A restart of all instances makes each send its registration several times.
+	err := l.register(ctx, req.Member)
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		highest := c.opts.State.HighestIncarnation(req.Member.ID)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -41,10 +41,15 @@
 	mu        sync.Mutex
 	granter   *lease.Granter
 	confirmed map[ctlstate.MemberKey]uint64
+	// registrations are the registrations that are being committed.
+	registrations map[ctlstate.Member]*registration
 	// removingMembers are the members whose removal is decided.
 	removingMembers map[ctlstate.MemberKey]bool
 	// sessions is the number of callers that each member serves.
-	sessions       map[ctlstate.MemberKey]int
+	sessions map[ctlstate.MemberKey]int
+	// live is the latest result of liveSessions, of the time liveAt.
+	live           map[ctlstate.MemberKey]int
+	liveAt         time.Time
 	detector       *failover.Detector
 	registry       *membership.Registry
 	drivers        map[topo.GroupID]*driver
@@ -80,6 +85,7 @@
 		confirm:           &confirmer{log: c.opts.Log},
 		granter:           lease.NewGranter(c.timing.LeaseTiming(), status.LeaderSince),
 		confirmed:         map[ctlstate.MemberKey]uint64{},
+		registrations:     map[ctlstate.Member]*registration{},
 		removingMembers:   map[ctlstate.MemberKey]bool{},
 		sessions:          map[ctlstate.MemberKey]int{},
 		detector:          failover.NewDetector(detectorTiming(c.timing)),
@@ -243,14 +249,21 @@
 	return keys
 }
 
+// liveSessionsMaxAge is how long the result of liveSessions is used. Each renewal
+// needs it, and the members change rarely in comparison.
+const liveSessionsMaxAge = 100 * time.Millisecond
+
 // liveSessions returns the number of callers of each live member. The caller
-// holds l.mu.
+// holds l.mu and must not modify the result.
 func (l *leadership) liveSessions(now time.Time) map[ctlstate.MemberKey]int {
-	live := map[ctlstate.MemberKey]int{}
+	if l.live != nil && now.Sub(l.liveAt) < liveSessionsMaxAge {
+		return l.live
+	}
+	l.live, l.liveAt = map[ctlstate.MemberKey]int{}, now
 	for _, k := range l.liveKeys(now) {
-		live[k] = l.sessions[k]
+		l.live[k] = l.sessions[k]
 	}
-	return live
+	return l.live
 }
 
 func (l *leadership) recordEvidence(req ctlwire.Evidence) {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -9,6 +9,44 @@
 	"github.com/cicadacove/cicadacove/internal/core/membership"
 )
 
+// registration is a registration that is being committed.
+type registration struct {
+	done chan struct{}
+	err  error
+}
+
+// register commits the registration of a member, unless it is registered already.
+// Requests for the same member share one entry of the log.
+func (l *leadership) register(ctx context.Context, m ctlstate.Member) error {
+	if r, known := l.c.opts.State.Member(m.Key()); known && !r.Superseded && r.Member == m {
+		return nil
+	}
+	l.mu.Lock()
+	running, ok := l.registrations[m]
+	if !ok {
+		running = &registration{done: make(chan struct{})}
+		l.registrations[m] = running
+		go l.commitRegistration(m, running)
+	}
+	l.mu.Unlock()
+	select {
+	case <-running.done:
+		return running.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *leadership) commitRegistration(m ctlstate.Member, r *registration) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	_, r.err = l.c.propose(ctx, ctlstate.Command{Register: &ctlstate.Register{Member: m}})
+	l.mu.Lock()
+	delete(l.registrations, m)
+	l.mu.Unlock()
+	close(r.done)
+}
+
 // reconcileMembers updates the view of live members and removes members that no
 // longer hold a lease.
 func (l *leadership) reconcileMembers(ctx context.Context) {
