control: reports of reachable primaries cause no immediate work at the leader

Change: the first report of a reachable primary waits for the next batch; the leader looks at once only for a failure, and at most every 10 ms beside its regular 25 ms. Result: TestFirstReportsOfReachablePrimariesShareAMessage fails on the former code.

--- a/internal/agent/leader_test.go
+++ b/internal/agent/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
@@ -73,3 +75,26 @@
 	a.voters = []string{"v1", "v2"}
 	require.Equal(t, []string{"v2"}, a.relayCandidates())
 }
+
+// After a restart of all instances each of them reaches many primaries for the first
+// time. The leader must not get a message for each.
+func TestFirstReportsOfReachablePrimariesShareAMessage(t *testing.T) {
+	a := newAgent(t, nil)
+	urgent := func() bool {
+		select {
+		case <-a.evidence.Urgent():
+			return true
+		default:
+			return false
+		}
+	}
+	for i := range 20 {
+		a.ReportPrimary(topo.GroupID(fmt.Sprint("g", i)), 1, true)
+	}
+	require.False(t, urgent())
+	require.Len(t, a.evidence.Take(), 20)
+	a.ReportPrimary("g3", 1, false)
+	require.True(t, urgent(), "a failure")
+	a.ReportPrimary("g3", 1, true)
+	require.True(t, urgent(), "the end of a failure")
+}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -47,8 +47,8 @@
 	at        time.Time
 }
 
-// report queues a report for the leader. It sends failures and changes at once. While
-// a primary stays reachable, it reports so twice per Timing.Silence, the period without
+// report queues a report for the leader. It sends failures, and the end of a failure,
+// at once. While a primary stays reachable, it reports so twice per Timing.Silence, the period without
 // such reports after which the leader suspects the primary.
 func (a *Agent) report(k reportKey, reachable bool) {
 	a.mu.Lock()
@@ -59,7 +59,8 @@
 		return
 	}
 	a.sentReports[k] = sentReport{reachable, now}
-	a.evidence.Add(k, reachable, !reachable || !old.reachable)
+	endOfFailure := !old.at.IsZero() && !old.reachable
+	a.evidence.Add(k, reachable, !reachable || endOfFailure)
 	for other := range a.sentReports {
 		if other.group == k.group && other.term < k.term {
 			delete(a.sentReports, other)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -27,6 +27,9 @@
 	// databaseIntervalTicks is the number of ticks between reconciliations of the
 	// announced databases.
 	databaseIntervalTicks = 4
+	// minTickInterval is the minimum time between two reconciliations of the groups.
+	// Many instances may report the same failure at once.
+	minTickInterval = 10 * time.Millisecond
 	// forgetAfter is how long the registry keeps an upstream that is silent.
 	forgetAfter = time.Hour
 )
@@ -135,13 +138,18 @@
 	g.Go(func() error { return loop(ctx, databaseIntervalTicks*l.c.timing.Tick, l.reconcileDatabases) })
 	ticker := time.NewTicker(l.c.timing.Tick)
 	defer ticker.Stop()
+	var lastTick time.Time
 	for ctx.Err() == nil {
 		select {
 		case <-ticker.C:
 		case <-l.tickNow:
+			if clock.Now().Sub(lastTick) < minTickInterval {
+				continue // the next regular tick is near
+			}
 		case <-ctx.Done():
 			continue
 		}
+		lastTick = clock.Now()
 		l.reconcileGroups(ctx, g)
 	}
 	l.setTasks(nil)
@@ -280,7 +288,9 @@
 		}
 		l.detector.Failed(s.Group, s.Term, req.Key, now)
 	}
-	l.requestTick()
+	if req.HasFailure() {
+		l.requestTick()
+	}
 }
 
 // recordAnnouncements records forwarded announcements.
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -1,6 +1,7 @@
 package ctlwire
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -109,6 +110,11 @@
 	Reports []PrimaryReport    `msgpack:"s"`
 }
 
+// HasFailure reports whether the member failed to reach one of the primaries.
+func (e Evidence) HasFailure() bool {
+	return slices.ContainsFunc(e.Reports, func(r PrimaryReport) bool { return !r.Reachable })
+}
+
 // AgedAnnouncement is an announcement with its age, so that forwarding does not
 // extend its lifetime.
 type AgedAnnouncement struct {
