--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -111,9 +111,11 @@
 // floodCounts counts the requests of a flood by outcome.
 type floodCounts struct {
 	done, notRun, other atomic.Int64
+	// firstOther is the first request that ended otherwise.
+	firstOther atomic.Pointer[string]
 }
 
-func (f *floodCounts) add(kind outcome.Kind) {
+func (f *floodCounts) add(kind outcome.Kind, err error) {
 	switch kind {
 	case outcome.Done:
 		f.done.Add(1)
@@ -121,6 +123,8 @@
 		f.notRun.Add(1)
 	default:
 		f.other.Add(1)
+		text := fmt.Sprintf("%s %s: %v", time.Now().Format("15:04:05.000000"), kind, err)
+		f.firstOther.CompareAndSwap(nil, &text)
 	}
 }
 
@@ -143,7 +147,11 @@
 		counts := s.flood(service, maxAge, ep.group, callers, length)
 		done, notRun, other := counts.done.Load(), counts.notRun.Load(), counts.other.Load()
 		if done < int64(minDone) || notRun < int64(minNotRun) || other > 0 {
-			return fmt.Sprintf("flood of %s: %d done, %d not run, %d otherwise", service, done, notRun, other)
+			problem := fmt.Sprintf("flood of %s: %d done, %d not run, %d otherwise", service, done, notRun, other)
+			if first := counts.firstOther.Load(); first != nil {
+				problem += "; the first of these: " + *first
+			}
+			return problem
 		}
 		return ""
 	})
@@ -172,7 +180,7 @@
 func (s *script) runFloodCaller(ctx context.Context, service string, ep endpoint, id identity, counts *floodCounts) {
 	conn, err := s.connect(context.Background(), ep, service, id)
 	if err != nil {
-		counts.add(outcome.NotRun)
+		counts.add(outcome.NotRun, err)
 		return
 	}
 	defer closeCaller(conn)
@@ -181,12 +189,12 @@
 		req := writeRequest{endpoint: ep, identity: id, requestID: fmt.Sprintf("%s-%d", id.session, i), parts: 1}
 		if !writes {
 			err := exec(context.Background(), conn, selectRows+" WHERE session = 'nobody'")
-			counts.add(kindOf(err))
+			counts.add(kindOf(err), err)
 			continue
 		}
 		s.oracle.BeginWrite(tokenKey(req.session, req.group), req.requestID, req.parts, true)
-		kind, _ := send(context.Background(), conn, req)
+		kind, err := send(context.Background(), conn, req)
 		s.oracle.EndWrite(req.requestID, kind)
-		counts.add(kind)
+		counts.add(kind, err)
 	}
 }
