--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Case 3: a valid configuration with the priority 3 ends every entry instance.
-# TROUBLE=0 sends the priority 2 instead. Exit code: 1 broken, 0 held, 2 not run.
+# Case 3: a valid configuration that adds a route with the priority 3 ends every
+# entry instance.
+# TROUBLE=0 adds the route with the priority 2. Exit code: 1 broken, 0 held, 2 not run.
 set -uo pipefail
 cd "$(dirname "$0")"
 program=../../target/cicadacove
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -58,6 +59,7 @@
 	platform *http.Server
 	operator *operator
 	done     chan struct{}
+	closing  sync.Once
 }
 
 func newRun(program, recordPath string, trouble bool) (*run, error) {
@@ -107,13 +109,10 @@
 	return addrs
 }
 
-// close ends all processes of the run.
-func (r *run) close() {
-	select {
-	case <-r.done:
-		return
-	default:
-	}
+// close ends all processes of the run and removes its files.
+func (r *run) close() { r.closing.Do(r.closeAll) }
+
+func (r *run) closeAll() {
 	close(r.done)
 	for _, p := range append(r.entries, r.voters...) {
 		p.stop()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -60,6 +62,13 @@
 		os.Exit(exitFailed)
 	})
 	defer watchdog.Stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		r.record.printf("interrupted: %s", <-interrupted)
+		r.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := execute(r)
 	switch {
 	case err != nil:
--- a/review/standin/priority.go
+++ b/review/standin/priority.go
@@ -13,6 +13,8 @@
 	changeTime = 12 * time.Second
 	// readersPerEntry is the number of clients of each kind at one entry instance.
 	readersPerEntry = 3
+	// readPause is the pause of a reading client between two statements.
+	readPause = 50 * time.Millisecond
 	// routeTimeout is the timeout of each statement.
 	routeTimeout = time.Second
 	// crashesForFault is the number of ends of its own in a day from which on a
@@ -20,30 +22,37 @@
 	crashesForFault, crashedMachines = 3, 2
 )
 
-// routes returns the three routes of a small site; the fourth is a less urgent
-// kind of request with the given priority.
-func routes(group string, fourthPriority int) []route {
+// routes returns the routes of a small site: one of each type, with the priorities
+// 0, 1 and 2.
+func routes(group string) []route {
 	base := route{PathPrefix: "/", TimeoutMs: int(routeTimeout.Milliseconds()), Service: group, MaxAttempts: 2}
-	placement, dispatch, catalogue, report := base, base, base, base
+	placement, dispatch, catalogue := base, base, base
 	placement.Name, placement.Database, placement.RouteType = "r-placement", "placement", "primary"
 	placement.Priority, placement.TargetLatencyMs = 0, 200
 	dispatch.Name, dispatch.Database, dispatch.RouteType = "r-dispatch", "dispatch", "read_your_writes"
 	dispatch.Priority, dispatch.TargetLatencyMs, dispatch.MaxStalenessMs = 1, 400, 2500
 	catalogue.Name, catalogue.Database, catalogue.RouteType = "r-catalogue", "catalogue", "bounded_staleness"
 	catalogue.Priority, catalogue.TargetLatencyMs, catalogue.MaxStalenessMs = 2, 1500, 1500
-	report.Name, report.Database, report.RouteType = "r-report", "report", "bounded_staleness"
-	report.Priority, report.TargetLatencyMs, report.MaxStalenessMs = fourthPriority, 1500, 1500
-	return []route{placement, dispatch, catalogue, report}
+	return []route{placement, dispatch, catalogue}
 }
 
-// runPriority changes the configuration: a fourth route gets the priority 3, one
-// step below the three that the deployment has. Without the disruption it gets
-// the priority 2. Clients use all four routes throughout.
+// addedRoute returns the route that the change adds, with the given priority.
+func addedRoute(group string, priority int) route {
+	return route{
+		Name: "r-report", Database: "report", PathPrefix: "/", RouteType: "bounded_staleness", TimeoutMs: int(routeTimeout.Milliseconds()),
+		TargetLatencyMs: 1500, Priority: priority, Service: group, MaxAttempts: 2, MaxStalenessMs: 1500,
+	}
+}
+
+// runPriority changes the configuration: it adds a route with the priority 3, one
+// step below those that the deployment has. Without the disruption the added route
+// has the priority 2. Clients use the three routes throughout, and the added one
+// once its configuration is acknowledged.
 func runPriority(r *run) (broken bool, err error) {
 	if err := r.startAll(); err != nil {
 		return false, err
 	}
-	if _, _, err := r.operator.put(newConfig(3, r.group.name, routes(r.group.name, 2)...), startLimit); err != nil {
+	if _, _, err := r.operator.put(newConfig(3, r.group.name, routes(r.group.name)...), startLimit); err != nil {
 		return false, err
 	}
 	if err := r.awaitReady(startLimit); err != nil {
@@ -54,8 +63,8 @@
 	var clients sync.WaitGroup
 	for entry := range entryCount {
 		for range readersPerEntry {
-			for _, database := range []string{"dispatch", "catalogue", "report"} {
-				clients.Go(func() { repeat(r, log, entry, database, "READ 1a4", 50*time.Millisecond, until) })
+			for _, database := range []string{"dispatch", "catalogue"} {
+				clients.Go(func() { repeat(r, log, entry, database, "READ 1a4", readPause, until) })
 			}
 		}
 		clients.Go(func() { repeat(r, log, entry, "placement", "WRITE 1a4 xkqpwnzd", 100*time.Millisecond, until) })
@@ -66,8 +75,11 @@
 	if r.trouble {
 		priority = 3
 	}
-	sentAt, ackedAt, err := r.operator.put(newConfig(9, r.group.name, routes(r.group.name, priority)...), startLimit)
+	sentAt, ackedAt, err := r.operator.put(newConfig(9, r.group.name, append(routes(r.group.name), addedRoute(r.group.name, priority))...), startLimit)
 	if err == nil {
+		for entry := range entryCount {
+			clients.Go(func() { repeat(r, log, entry, "report", "READ 1a4", readPause, until) })
+		}
 		time.Sleep(changeTime)
 	}
 	close(until)
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -26,6 +26,8 @@
 	cmd     *exec.Cmd
 	started bool
 	stopped bool
+	// exited is closed when the running process has ended.
+	exited chan struct{}
 	// ownExits counts the exits that no signal of the case caused.
 	ownExits int
 }
@@ -58,15 +60,17 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd, p.started = cmd, true
+	exited := make(chan struct{})
+	p.cmd, p.exited, p.started = cmd, exited, true
 	p.run.record.printf("process %s started", p.name)
-	go p.watch(cmd)
+	go p.watch(cmd, exited)
 	return nil
 }
 
 // watch records the end of a process and starts it again.
-func (p *process) watch(cmd *exec.Cmd) {
+func (p *process) watch(cmd *exec.Cmd, exited chan<- struct{}) {
 	err := cmd.Wait()
+	close(exited)
 	p.mu.Lock()
 	stopped := p.stopped
 	if !stopped {
@@ -108,14 +112,17 @@
 	return p.ownExits
 }
 
-// stop kills the process for good.
+// stop kills the process for good and waits until it has ended.
 func (p *process) stop() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.stopped = true
-	if p.cmd != nil {
-		_ = p.cmd.Process.Kill() // it may have ended already
+	cmd, exited := p.cmd, p.exited
+	p.mu.Unlock()
+	if cmd == nil {
+		return
 	}
+	_ = cmd.Process.Kill() // it may have ended already
+	<-exited
 }
 
 func (p *process) String() string { return "process " + p.name }
