catalog: the rank of a route is brought into range once

Cause: a priority has no lower limit, a rank has three. The adapter added one to the priority and the catalog kept the result; admission brought it into range at each use, groupstate.Candidate did not and indexed the waits by rank with it. The stack of the test names that line (internal/groupstate/upstream.go:143), which rules out the other users of the rank: Hold, the scheduler, the targets of a group and the metrics. Only reads that compare databases pass there, so routes of the type primary went on. A priority of 2^63-1 also overflowed and became the most urgent rank.

Candidate asks for the wait of one rank in place of the load of all.

--- a/internal/core/admission/congestion.go
+++ b/internal/core/admission/congestion.go
@@ -142,12 +142,11 @@
 	if h.Rank <= contract.RankUrgent || h.UrgentTarget <= 0 {
 		return false
 	}
-	share := holdShareMiddle
-	if h.Rank >= contract.Ranks {
+	share, rank := holdShareMiddle, contract.ClampRank(h.Rank)
+	if rank == contract.Ranks {
 		share = holdShareLeastUrgent
 	}
 	limit := time.Duration(share * float64(h.UrgentTarget))
-	rank := min(h.Rank, contract.Ranks)
 	if c.Wait(now) > limit {
 		c.releaseAt[rank] = now.Add(h.releaseInterval())
 		return true
--- a/internal/core/admission/estimate.go
+++ b/internal/core/admission/estimate.go
@@ -131,8 +131,10 @@
 }
 
 // Wait returns the longest expected wait among the services of a rank, for a
-// request from a caller without queued requests.
+// request from a caller without queued requests. A rank out of range counts as the
+// closest one.
 func (s *Scheduler) Wait(now time.Time, rank int) time.Duration {
+	rank = contract.ClampRank(rank)
 	var longest time.Duration
 	for _, c := range s.services {
 		if c.rank == rank {
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -63,7 +63,7 @@
 // apply adopts the rank, target and floor of the contract. It reports whether
 // rank or floor changed.
 func (c *serviceState) apply(service contract.Service) bool {
-	rank := min(max(service.Rank, contract.RankUrgent), contract.Ranks)
+	rank := contract.ClampRank(service.Rank)
 	target := service.Target
 	if target <= 0 {
 		target = DefaultTarget
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -77,8 +77,7 @@
 }
 
 func (c *Catalog) recordTarget(r Route) {
-	targets := c.targets[r.Group]
-	rank := min(max(r.Service.Rank, contract.RankUrgent), contract.Ranks)
+	targets, rank := c.targets[r.Group], r.Service.Rank
 	if t := r.Service.Target; t > 0 && (targets[rank] == 0 || t < targets[rank]) {
 		targets[rank] = t
 	}
@@ -135,6 +134,7 @@
 	case r.Consistency != Primary && r.Consistency != OwnWrites && r.Consistency != Bounded:
 		return &FieldError{field, fmt.Sprintf("has the unknown consistency %q", r.Consistency)}
 	}
+	r.Service.Rank = contract.ClampRank(r.Service.Rank)
 	c.Routes[r.Database] = r
 	c.recordTarget(r)
 	return nil
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -301,6 +301,11 @@
 	routes := []catalog.Route{
 		route("strict", catalog.Primary), route("own", catalog.OwnWrites), route("old", catalog.Bounded), least,
 	}
+	return newEngineWith(db, routes...)
+}
+
+// newEngineWith returns an engine of an instance in zone-b with the given routes.
+func newEngineWith(db *fakeGroup, routes ...catalog.Route) *Engine[*fakeConn] {
 	c, err := catalog.Build(1, routes, []catalog.Group{{ID: group, Connections: 40, Durability: 1}}, time.Second)
 	if err != nil {
 		panic(err)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -197,6 +197,13 @@
 	return g.scheduler.Load(g.now())
 }
 
+// Wait returns the expected wait of a new request of the rank.
+func (g *Gate) Wait(rank int) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.Wait(g.now(), rank)
+}
+
 // deliver sends decisions to the waiting goroutines. Each request gets one
 // decision, so the send never blocks.
 func deliver(decisions []admission.Decision) {
--- a/internal/groupstate/upstream.go
+++ b/internal/groupstate/upstream.go
@@ -140,6 +140,6 @@
 		Point:     point,
 		Lag:       g.tracker.Lag(a.ID),
 		RoundTrip: g.upstream(a.ID).answerTime,
-		QueueWait: gt.Load().Wait[rank],
+		QueueWait: gt.Wait(rank),
 	}
 }
