catalog: the numbers of a configuration are brought within limits once

What operators saw: a number that no page limits was refused, or became another one. timeoutMs above 9.2e12 overflowed in the conversion to a duration: arm64 kept the largest duration, x86-64 made it negative and refused the configuration, so that voters and entry instances of different machines would disagree on it. A route without a target was admitted with one second, but its work was never held back for urgent work, never waited for a primary and never retried.

As the pages call only a timeout of 0 invalid, a negative one is accepted as the shortest.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -60,6 +60,8 @@
 	Groups map[topo.GroupID]Group
 	// IdleTransaction is the longest pause of a caller inside a transaction.
 	IdleTransaction time.Duration
+	// Limited is the number of routes and groups with a value beyond its limit.
+	Limited int
 	// targets holds the lowest target of the services for each group and rank.
 	targets map[topo.GroupID][contract.Ranks + 1]time.Duration
 }
@@ -78,7 +80,7 @@
 
 func (c *Catalog) recordTarget(r Route) {
 	targets, rank := c.targets[r.Group], r.Service.Rank
-	if t := r.Service.Target; t > 0 && (targets[rank] == 0 || t < targets[rank]) {
+	if t := r.Service.Target; targets[rank] == 0 || t < targets[rank] {
 		targets[rank] = t
 	}
 	c.targets[r.Group] = targets
@@ -93,13 +95,14 @@
 // Error returns a message with the field and the reason.
 func (e *FieldError) Error() string { return fmt.Sprintf("configuration: %s: %s", e.Field, e.Reason) }
 
-// Build validates the parts of a catalog and builds it. The error is a
-// *FieldError.
+// Build validates the parts of a catalog, brings their values within the limits and
+// builds it. The error is a *FieldError.
 func Build(version uint64, routes []Route, groups []Group, idleTransaction time.Duration) (*Catalog, error) {
 	c := &Catalog{
 		Version: version, Routes: make(map[string]Route, len(routes)),
-		Groups: make(map[topo.GroupID]Group, len(groups)), IdleTransaction: idleTransaction,
-		targets: map[topo.GroupID][contract.Ranks + 1]time.Duration{},
+		Groups:          make(map[topo.GroupID]Group, len(groups)),
+		IdleTransaction: clamp(idleTransaction, MinTimeout, MaxDuration),
+		targets:         map[topo.GroupID][contract.Ranks + 1]time.Duration{},
 	}
 	for _, g := range groups {
 		if g.ID == "" {
@@ -108,7 +111,8 @@
 		if _, duplicate := c.Groups[g.ID]; duplicate {
 			return nil, &FieldError{"service " + string(g.ID), "is given twice"}
 		}
-		c.Groups[g.ID] = g
+		c.Groups[g.ID] = g.limited()
+		c.countLimited(c.Groups[g.ID] != g)
 	}
 	for _, r := range routes {
 		if err := c.add(r); err != nil {
@@ -129,13 +133,19 @@
 		return &FieldError{field, "serves the database name of another route"}
 	case !known:
 		return &FieldError{field, fmt.Sprintf("names the unknown service %q", r.Group)}
-	case r.StatementTimeout <= 0:
+	case r.StatementTimeout == 0:
 		return &FieldError{field, "has no timeout"}
 	case r.Consistency != Primary && r.Consistency != OwnWrites && r.Consistency != Bounded:
 		return &FieldError{field, fmt.Sprintf("has the unknown consistency %q", r.Consistency)}
 	}
-	r.Service.Rank = contract.ClampRank(r.Service.Rank)
-	c.Routes[r.Database] = r
-	c.recordTarget(r)
+	c.Routes[r.Database] = r.limited()
+	c.countLimited(c.Routes[r.Database] != r)
+	c.recordTarget(c.Routes[r.Database])
 	return nil
 }
+
+func (c *Catalog) countLimited(limited bool) {
+	if limited {
+		c.Limited++
+	}
+}
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 )
 
@@ -38,3 +39,51 @@
 		require.Equal(t, want, c.Routes["looks"].Service.Rank, "rank %d", rank)
 	}
 }
+
+// Guards against values that overflow where they are used, with a result that
+// depends on the processor: any value is accepted and brought within its limits.
+func TestValuesAreBroughtWithinTheirLimits(t *testing.T) {
+	for _, d := range []time.Duration{math.MinInt64, -1, 1, math.MaxInt64} {
+		for _, n := range []int{math.MinInt, -1, 0, math.MaxInt} {
+			r := testRoute(func(r *Route) {
+				r.StatementTimeout, r.Service.Target, r.Service.MaxAge, r.Service.Rank = d, d, d, n
+			})
+			c, err := Build(1, []Route{r}, []Group{{ID: "g", Connections: n, Durability: n}}, d)
+			require.NoError(t, err)
+			requireWithinLimits(t, c)
+			require.Equal(t, 2, c.Limited)
+		}
+	}
+}
+
+func requireWithinLimits(t *testing.T, c *Catalog) {
+	between := func(lowest, value, highest any) {
+		require.GreaterOrEqual(t, value, lowest)
+		require.LessOrEqual(t, value, highest)
+	}
+	between(MinTimeout, c.IdleTransaction, MaxDuration)
+	for _, r := range c.Routes {
+		between(contract.RankUrgent, r.Service.Rank, contract.Ranks)
+		between(MinTimeout, r.StatementTimeout, MaxDuration)
+		between(MinTarget, r.Service.Target, MaxDuration)
+		between(time.Duration(0), r.Service.MaxAge, MaxDuration)
+	}
+	for _, g := range c.Groups {
+		between(1, g.Connections, MaxConnections)
+		between(contract.MinDurability, g.Durability, contract.MaxDurability)
+	}
+}
+
+func TestUsualValuesAreKept(t *testing.T) {
+	r := testRoute(func(*Route) {})
+	c := build(t, r)
+	require.Equal(t, r, c.Routes["looks"])
+	require.Equal(t, Group{ID: "g", Connections: 20, Durability: 1}, c.Groups["g"])
+	require.Zero(t, c.Limited)
+}
+
+// A route without a target gets the default one, as admission gives it.
+func TestRouteWithoutATarget(t *testing.T) {
+	c := build(t, testRoute(func(r *Route) { r.Service.Target = 0 }))
+	require.Equal(t, admission.DefaultTarget, c.Routes["looks"].Service.Target)
+}
--- /dev/null
+++ b/internal/core/catalog/limits.go
@@ -0,0 +1,48 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/admission"
+	"github.com/cicadacove/cicadacove/internal/core/contract"
+)
+
+// Limits of the values in use. A catalog with a value beyond them is valid, and the
+// nearest limit is used in its place, so that no user of a value has to expect
+// another one.
+const (
+	// MinTimeout is the shortest timeout of a statement.
+	MinTimeout = time.Millisecond
+	// MinTarget is the shortest target. A shorter one would refuse every request,
+	// since none is expected to end in time.
+	MinTarget = 10 * time.Millisecond
+	// MaxDuration limits all durations. Sums and small multiples of it can't overflow.
+	MaxDuration = 24 * time.Hour
+	// MaxConnections limits the connections to one database.
+	MaxConnections = 1 << 20
+)
+
+// limited returns the route with all values within their limits. A route without a
+// target gets the default one.
+func (r Route) limited() Route {
+	s := &r.Service
+	if s.Target <= 0 {
+		s.Target = admission.DefaultTarget
+	}
+	s.Rank = contract.ClampRank(s.Rank)
+	s.Target = clamp(s.Target, MinTarget, MaxDuration)
+	s.MaxAge = clamp(s.MaxAge, 0, MaxDuration)
+	r.StatementTimeout = clamp(r.StatementTimeout, MinTimeout, MaxDuration)
+	return r
+}
+
+// limited returns the group with all values within their limits.
+func (g Group) limited() Group {
+	g.Connections = clamp(g.Connections, 1, MaxConnections)
+	g.Durability = clamp(g.Durability, contract.MinDurability, contract.MaxDurability)
+	return g
+}
+
+func clamp[T int | time.Duration](value, lowest, highest T) T {
+	return min(max(value, lowest), highest)
+}
--- a/internal/core/contract/contract.go
+++ b/internal/core/contract/contract.go
@@ -23,10 +23,6 @@
 // ClampRank returns the rank closest to the given one.
 func ClampRank(rank int) int { return min(max(rank, RankUrgent), Ranks) }
 
-// RankOfPriority returns the rank of a priority, of which 0 is the highest and
-// which may exceed the ranks in both directions.
-func RankOfPriority(priority int) int { return ClampRank(RankUrgent + min(priority, Ranks)) }
-
 // Service is one kind of work that callers name with cicadacove.service.
 type Service struct {
 	Name string `json:"name" msgpack:"n" toml:"name"`
--- a/internal/engine/values_test.go
+++ b/internal/engine/values_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -40,3 +41,29 @@
 		require.Equal(t, outcome.Done, c.commit().Outcome.Kind)
 	}
 }
+
+// Guards against a duration whose use overflows: statements of any route are answered
+// at once while the upstreams answer at once.
+func TestRoutesOfAnyDurationsAreServed(t *testing.T) {
+	durations := []time.Duration{math.MinInt64, -time.Second, 1, time.Millisecond, math.MaxInt64}
+	for _, timeout := range durations {
+		for _, target := range append(durations, 0) {
+			for _, maxAge := range []time.Duration{time.Second, math.MaxInt64} {
+				synctest.Test(t, func(t *testing.T) {
+					db := newFakeGroup()
+					e := newEngineWith(db, catalog.Route{
+						Database: "any", Group: group, Consistency: catalog.Bounded, StatementTimeout: timeout,
+						Service: contract.Service{Name: "any", Rank: contract.RankLow, Target: target, MaxAge: maxAge},
+					}, catalog.Route{
+						Database: "urgent", Group: group, Consistency: catalog.Primary, StatementTimeout: time.Second,
+						Service: contract.Service{Name: "urgent", Rank: contract.RankUrgent, Target: target},
+					})
+					requireServes(t, open(t, e, "any"))
+					e.maintain(t.Context())
+					synctest.Wait()
+					requireServes(t, open(t, e, "urgent"))
+				})
+			}
+		}
+	}
+}
