catalog: reads that tolerate no age go to the primary

What callers saw: each read on a route whose maxStalenessMs is missing, 0, negative or a fraction of a millisecond waited for 100 ms, for a position of the primary that can't be recent enough, and then went to the primary. While such reads came, the group's position was not queried in advance either, so reads of its other routes waited for it too.

RecordRead kept the lowest age, and sampleDue took zero as "no such reads".

Change: catalog.Build makes such a route one of the primary, whose reads have all commits; RecordRead ignores reads without an age, in one place for both kinds of callers.

Result: the new test failed before (waited 100 ms), and so did the test of durations (not run, its timeout of 1 ms passed meanwhile); both pass.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -20,9 +20,9 @@
 	// Primary: every acknowledged commit.
 	Primary Consistency = "primary"
 	// OwnWrites: the session's own commits, and those of others as of
-	// Service.MaxAge ago.
+	// Service.MaxAge ago, which is MinMaxAge at least.
 	OwnWrites Consistency = "own writes"
-	// Bounded: commits as of Service.MaxAge ago.
+	// Bounded: commits as of Service.MaxAge ago, which is MinMaxAge at least.
 	Bounded Consistency = "bounded"
 )
 
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -66,7 +66,9 @@
 		between(contract.RankUrgent, r.Service.Rank, contract.Ranks)
 		between(MinTimeout, r.StatementTimeout, MaxDuration)
 		between(MinTarget, r.Service.Target, MaxDuration)
-		between(time.Duration(0), r.Service.MaxAge, MaxDuration)
+		if r.Consistency != Primary {
+			between(MinMaxAge, r.Service.MaxAge, MaxDuration)
+		}
 	}
 	for _, g := range c.Groups {
 		between(1, g.Connections, MaxConnections)
--- a/internal/core/catalog/limits.go
+++ b/internal/core/catalog/limits.go
@@ -16,6 +16,9 @@
 	// MinTarget is the shortest target. A shorter one would refuse every request,
 	// since none is expected to end in time.
 	MinTarget = 10 * time.Millisecond
+	// MinMaxAge is the lowest maximum age that a replica can serve: positions of a
+	// primary are kept at this interval. Reads that tolerate less go to the primary.
+	MinMaxAge = 10 * time.Millisecond
 	// MaxDuration limits all durations. Sums and small multiples of it can't overflow.
 	MaxDuration = 24 * time.Hour
 	// MaxConnections limits the connections to one database.
@@ -32,6 +35,9 @@
 	s.Rank = contract.ClampRank(s.Rank)
 	s.Target = clamp(s.Target, MinTarget, MaxDuration)
 	s.MaxAge = clamp(s.MaxAge, 0, MaxDuration)
+	if s.MaxAge < MinMaxAge && r.Consistency != Primary {
+		s.MaxAge, r.Consistency = 0, Primary
+	}
 	r.StatementTimeout = clamp(r.StatementTimeout, MinTimeout, MaxDuration)
 	return r
 }
--- a/internal/engine/sampler.go
+++ b/internal/engine/sampler.go
@@ -62,9 +62,7 @@
 	now := clock.Now()
 	e.sampledForOthersAt.Store(&now)
 	for _, g := range req.Groups {
-		if g.MaxAge > 0 {
-			e.groups.Get(g.ID).RecordRead(g.MaxAge, now)
-		}
+		e.groups.Get(g.ID).RecordRead(g.MaxAge, now)
 	}
 	var reply positionsReply
 	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
--- a/internal/engine/values_test.go
+++ b/internal/engine/values_test.go
@@ -48,7 +48,7 @@
 	durations := []time.Duration{math.MinInt64, -time.Second, 1, time.Millisecond, math.MaxInt64}
 	for _, timeout := range durations {
 		for _, target := range append(durations, 0) {
-			for _, maxAge := range []time.Duration{time.Second, math.MaxInt64} {
+			for _, maxAge := range append(durations, 0) {
 				synctest.Test(t, func(t *testing.T) {
 					db := newFakeGroup()
 					e := newEngineWith(db, catalog.Route{
@@ -67,3 +67,29 @@
 		}
 	}
 }
+
+// Guards against reads that wait for a position that can't be recent enough for
+// their route, and against such a route ending the queries of positions for the others.
+func TestReadsThatTolerateNoAgeGoToThePrimary(t *testing.T) {
+	for _, consistency := range []catalog.Consistency{catalog.OwnWrites, catalog.Bounded} {
+		for _, maxAge := range []time.Duration{-time.Second, 0, time.Nanosecond} {
+			synctest.Test(t, func(t *testing.T) {
+				db := newFakeGroup()
+				route := func(name string, maxAge time.Duration) catalog.Route {
+					return catalog.Route{
+						Database: name, Group: group, Consistency: consistency, StatementTimeout: time.Second,
+						Service: contract.Service{Name: name, Rank: contract.RankLow, Target: time.Second, MaxAge: maxAge},
+					}
+				}
+				e := newEngineWith(db, route("latest", maxAge), route("aged", time.Minute))
+				require.Equal(t, outcome.Done, open(t, e, "aged").read("x").Outcome.Kind)
+				began := time.Now()
+				require.Equal(t, outcome.Done, open(t, e, "latest").read("y").Outcome.Kind)
+				require.Zero(t, time.Since(began), "the read must not wait")
+				require.Equal(t, db.primary, db.lastRun("y").upstream)
+				require.Equal(t, time.Minute, e.groups.Get(group).MinMaxAge(), "the positions of the other route are still queried")
+				synctest.Wait()
+			})
+		}
+	}
+}
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -54,9 +54,7 @@
 		return result{outcome: o}
 	}
 	c.server.countAttempt()
-	if req.service.MaxAge > 0 {
-		c.server.groups.Get(c.group).RecordRead(req.service.MaxAge, req.arrived)
-	}
+	c.server.groups.Get(c.group).RecordRead(req.service.MaxAge, req.arrived)
 	refused := outcome.Refused(outcome.CodeNoUpstream, "no upstream answered in time")
 	avoid := map[topo.UpstreamID]bool{}
 	for range maxReadAttempts {
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -153,8 +153,12 @@
 	g.lastUse = now
 }
 
-// RecordRead records a read that accepts data up to maxAge old.
+// RecordRead records a read that accepts data up to maxAge old. It ignores one that
+// accepts only current data, for which no position of the primary is queried.
 func (g *Group) RecordRead(maxAge time.Duration, now time.Time) {
+	if maxAge <= 0 {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Sub(g.lastRead) > activeWindow || maxAge < g.minMaxAge {
