routing: a read whose age no position can meet goes to the primary

What callers saw: a PostgreSQL caller that sets cicadacove.max_age to less than a round trip (or a contract with such a max_age) got every read refused with "no upstream answered in time", after six queries of the primary's position.

Change: a read whose position was queried and is not recent enough is sent to the primary, which has all commits.

--- a/internal/cluster/caller_test.go
+++ b/internal/cluster/caller_test.go
@@ -211,6 +211,18 @@
 	require.NoError(t, err)
 }
 
+// Guards against reads that are refused although the primary could serve them: a
+// caller may tolerate less than the age at which a position arrives.
+func TestReadsOfAnyMaximumAgeAreServed(t *testing.T) {
+	c, g, ctx := startClusterWith(t, nil)
+	conn := connect(t, c, c.Entry(0), g, c.Profile.Low)
+	execRetry(t, ctx, conn, "SELECT 1")
+	for _, age := range []string{"0s", "1ns", "1ms", "2562047h"} {
+		_, err := conn.Exec(ctx, "SELECT 1 /*cicadacove.max_age='"+age+"'*/")
+		require.NoError(t, err, age)
+	}
+}
+
 // A cancel request must reach the session even if the load balancer sends it
 // to another entry instance.
 func TestCancelThroughAnotherInstance(t *testing.T) {
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -28,6 +28,9 @@
 	PointUnknown bool
 	// MaxAge is the tolerated age of the data; zero allows only the primary.
 	MaxAge time.Duration
+	// Queried means that the primary's position was queried for this read. If it is
+	// not recent enough even so, only the primary can serve the read.
+	Queried bool
 	// MaxWait bounds the wait for a replica that is about to catch up.
 	MaxWait time.Duration
 	// MaxExtraDelay is how much later the answer may arrive in exchange for keeping
@@ -89,10 +92,14 @@
 		return usePrimary(primary, "no primary can serve the read now")
 	}
 	required, known := t.PointWithin(r.MaxAge, now)
-	if !known {
-		if primary != nil {
-			return Decision{Action: AskPrimary, Upstream: primary.ID}
+	if !known && primary != nil {
+		action := AskPrimary
+		if r.Queried {
+			action = UsePrimary
 		}
+		return Decision{Action: action, Upstream: primary.ID}
+	}
+	if !known {
 		return refuse(outcome.CodeNoUpstream, "no replica is known to satisfy the staleness bound of the service")
 	}
 	if r.Token.Compare(required) > 0 {
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -42,6 +42,7 @@
 		{"lost write", with(point(1, 11)), []Candidate{near}, primary, Refuse, "", outcome.CodeWriteLost},
 		{"session without a known point", Read{MaxAge: time.Second, PointUnknown: true}, []Candidate{near}, primary, UsePrimary, "p", ""},
 		{"session without a known point, no primary", Read{MaxAge: time.Second, PointUnknown: true}, []Candidate{near}, nil, Refuse, "", outcome.CodeNoUpstream},
+		{"position too old although it was queried", Read{MaxAge: time.Millisecond, Queried: true}, []Candidate{near}, primary, UsePrimary, "p", ""},
 		{"no age tolerated", Read{}, []Candidate{near}, primary, UsePrimary, "p", ""},
 		{"primary's position too old", Read{MaxAge: time.Millisecond}, []Candidate{near}, primary, AskPrimary, "p", ""},
 		{"position too old, no primary", Read{MaxAge: time.Millisecond}, []Candidate{near}, nil, Refuse, "", outcome.CodeNoUpstream},
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -56,19 +56,18 @@
 	c.server.countAttempt()
 	c.server.groups.Get(c.group).RecordRead(req.service.MaxAge, req.arrived)
 	refused := outcome.Refused(outcome.CodeNoUpstream, "no upstream answered in time")
-	avoid := map[topo.UpstreamID]bool{}
+	avoid, queried := map[topo.UpstreamID]bool{}, false
 	for range maxReadAttempts {
 		if ctx.Err() != nil {
 			break
 		}
-		d, cands := c.route(req, required, avoid)
+		d, cands := c.route(req, required, queried, avoid)
 		switch d.Action {
 		case routing.Refuse:
 			return result{outcome: d.Outcome}
 		case routing.AskPrimary:
-			if c.refreshPrimaryPosition(ctx) != nil {
-				avoid[d.Upstream] = true
-			}
+			queried = c.refreshPrimaryPosition(ctx) == nil
+			avoid[d.Upstream] = !queried
 			continue
 		}
 		r, err := c.readAt(ctx, req, d, cands, required.pointUnknown)
@@ -102,8 +101,9 @@
 	upstreams    map[topo.UpstreamID]topo.Announcement
 }
 
-// route selects the upstream of a read.
-func (c *callerSession) route(req *request, required requiredPoint, avoid map[topo.UpstreamID]bool) (routing.Decision, candidates) {
+// route selects the upstream of a read. queried reports whether the primary's
+// position was queried for it.
+func (c *callerSession) route(req *request, required requiredPoint, queried bool, avoid map[topo.UpstreamID]bool) (routing.Decision, candidates) {
 	ctl := c.server.opts.Control
 	now := time.Now()
 	g := c.server.groups.Get(c.group)
@@ -130,6 +130,7 @@
 		Token:         required.point,
 		PointUnknown:  required.pointUnknown,
 		MaxAge:        req.service.MaxAge,
+		Queried:       queried,
 		MaxWait:       min(maxReplicaWait, time.Until(req.deadline)/2),
 		MaxExtraDelay: min(maxReplicaWait, req.service.Target/extraDelayDivisor),
 	}
