catalog: routes with the same name have services of their own

What callers saw: where two routes have the same name, or none, urgent work waited with less urgent work and lost its place: only database names have to differ, but admission control keeps rank, target, floor and queue under the name of the route, and each request replaced them by those of its own route.

Change: catalog.Build adds the database name to a name that is empty or taken.

Result: the new test failed before (empty name) and passes.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -62,6 +62,8 @@
 	IdleTransaction time.Duration
 	// Limited is the number of routes and groups with a value beyond its limit.
 	Limited int
+	// names are the names of the routes' services.
+	names map[string]bool
 	// targets holds the lowest target of the services for each group and rank.
 	targets map[topo.GroupID][contract.Ranks + 1]time.Duration
 }
@@ -102,6 +104,7 @@
 		Version: version, Routes: make(map[string]Route, len(routes)),
 		Groups:          make(map[topo.GroupID]Group, len(groups)),
 		IdleTransaction: clamp(idleTransaction, MinTimeout, MaxDuration),
+		names:           map[string]bool{},
 		targets:         map[topo.GroupID][contract.Ranks + 1]time.Duration{},
 	}
 	for _, g := range groups {
@@ -138,12 +141,24 @@
 	case r.Consistency != Primary && r.Consistency != OwnWrites && r.Consistency != Bounded:
 		return &FieldError{field, fmt.Sprintf("has the unknown consistency %q", r.Consistency)}
 	}
+	r.Service.Name = c.uniqueName(r)
+	c.names[r.Service.Name] = true
 	c.Routes[r.Database] = r.limited()
 	c.countLimited(c.Routes[r.Database] != r)
 	c.recordTarget(c.Routes[r.Database])
 	return nil
 }
 
+// uniqueName returns the name of the route's service, under which admission control
+// keeps its state. It adds the database name to a name that is empty or taken.
+func (c *Catalog) uniqueName(r Route) string {
+	name := r.Service.Name
+	for name == "" || c.names[name] {
+		name += "(" + r.Database + ")"
+	}
+	return name
+}
+
 func (c *Catalog) countLimited(limited bool) {
 	if limited {
 		c.Limited++
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -89,3 +89,22 @@
 	c := build(t, testRoute(func(r *Route) { r.Service.Target = 0 }))
 	require.Equal(t, admission.DefaultTarget, c.Routes["looks"].Service.Target)
 }
+
+// Guards against routes that share the state of admission because they share a name:
+// their ranks and targets would replace each other with each request.
+func TestRoutesWithTheSameNameKeepTheirOwnService(t *testing.T) {
+	var routes []Route
+	for _, database := range []string{"a", "b", "c"} {
+		for _, name := range []string{"", "same", "same (b)"} {
+			routes = append(routes, testRoute(func(r *Route) { r.Database, r.Service.Name = database+" of "+name, name }))
+		}
+	}
+	c := build(t, routes...)
+	names := map[string]bool{}
+	for _, r := range c.Routes {
+		require.NotEmpty(t, r.Service.Name)
+		names[r.Service.Name] = true
+	}
+	require.Len(t, names, len(routes))
+	require.Equal(t, "same", c.Routes["a of same"].Service.Name, "the first one keeps its name")
+}
