entry: an unexpected error ends one request, not the process

Cause, beside that of the defect: a runtime error in the goroutine of a caller ended the process.

Change: contain.Run turns a runtime error into an error value around each statement and each connection, for callers of the platform and of PostgreSQL. The statement ends as unknown, the transaction is rolled back, the slot is released, the connection to the database is closed if an answer is outstanding (it counts as broken until all answers are read), and the stack is logged. Explicit panics report broken invariants and still end the process. Handlers of peers are left out: they change the state of the control plane, which must not go on from an unknown state. The two locks on the path that had no deferred unlock have one now.

--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -59,8 +59,16 @@
 	lostBefore // the connection breaks before the statement runs
 	lostAfter  // the statement runs and its answer is lost
 	failing
+	crashBefore // a runtime error before the statement runs
+	crashAfter  // the statement runs and a runtime error follows
 )
 
+// crash causes a runtime error.
+func crash() {
+	var none []int
+	none[len(none)]++
+}
+
 var errBroken = errors.New("fake: connection broken")
 
 func newFakeGroup() *fakeGroup {
@@ -131,7 +139,13 @@
 			c.closed = true
 			return results, errBroken
 		}
+		if fault == crashBefore {
+			crash()
+		}
 		r := c.run(st, fault)
+		if fault == crashAfter {
+			crash()
+		}
 		if fault == lostAfter {
 			c.closed = true
 			return results, errBroken
--- a/internal/engine/pooled_conn.go
+++ b/internal/engine/pooled_conn.go
@@ -44,12 +44,15 @@
 // Abort implements connpool.Conn.
 func (pc *pooledConn[C]) Abort() { pc.conn.Abort() }
 
+// run sends the statements and reads their answers. Unless all of them have been read,
+// the connection is broken.
 func (pc *pooledConn[C]) run(ctx context.Context, statements ...Statement) ([]Result, error) {
+	pc.broken = true
 	results, err := pc.conn.Run(ctx, statements...)
 	if err != nil {
-		pc.broken = true
 		return results, err
 	}
+	pc.broken = false
 	pc.inTransaction = results[len(results)-1].State != TxNone
 	return results, nil
 }
--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -42,8 +42,12 @@
 		for range 3 {
 			m.sessions = append(m.sessions, &randomSession{client: open(t, e, "own"), values: map[string]string{}})
 		}
-		db.fail = func(topo.UpstreamID, Statement) failure {
-			return rapid.SampledFrom([]failure{none, none, none, none, none, busy, lostBefore, lostAfter, failing}).Draw(t, "failure")
+		db.fail = func(_ topo.UpstreamID, st Statement) failure {
+			faults := []failure{none, none, none, none, none, busy, lostBefore, lostAfter, failing}
+			if st.Verb != Reset && st.Verb != Rollback { // the engine sends these in the background
+				faults = append(faults, crashBefore, crashAfter)
+			}
+			return rapid.SampledFrom(faults).Draw(t, "failure")
 		}
 		steps := rapid.IntRange(1, 40).Draw(t, "steps")
 		for range steps {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -6,7 +6,10 @@
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/cicadacove/cicadacove/internal/clock"
+	"github.com/cicadacove/cicadacove/internal/contain"
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -65,7 +68,7 @@
 	if c := s.engine.opts.Catalog(); c != nil {
 		s.event.Config = c.Version
 	}
-	r := s.serve(ctx, st, arrived)
+	r := s.serveContained(ctx, st, arrived)
 	r.State = s.State()
 	err := s.deliver(&r, deliver)
 	s.event.Outcome, s.event.Took = r.Outcome, time.Since(arrived)
@@ -107,6 +110,21 @@
 	return refused(outcome.Refused(outcome.CodeProtocol, reason))
 }
 
+// serveContained is serve, except that an unexpected error ends only the statement.
+func (s *Session[C]) serveContained(ctx context.Context, st Statement, arrived time.Time) (r Reply) {
+	err := contain.Run(func() { r = s.serve(ctx, st, arrived) })
+	if err == nil {
+		return r
+	}
+	klog.ErrorS(err, "engine: unexpected error", "request", st.ID, "database", s.database, "verb", st.Verb.String(), "stack", contain.Stack(err))
+	if st.Verb == Commit {
+		s.endTransaction()
+	} else {
+		s.failIfOpen()
+	}
+	return refused(outcome.UnknownResult("an unexpected error occurred in the entry instance"))
+}
+
 func (s *Session[C]) serve(ctx context.Context, st Statement, arrived time.Time) Reply {
 	if s.failed {
 		return s.serveFailed(st)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -126,13 +126,13 @@
 		if !ok {
 			return o
 		}
-		a := s.engine.newAccess(at.upstream, at.term, w.route)
-		o, retry := s.beginAt(ctx, w, a, at)
+		s.tx.access, s.tx.placement = s.engine.newAccess(at.upstream, at.term, w.route), at
+		o, retry := s.beginAt(ctx, w, s.tx.access, at)
 		if o.Kind == "" {
-			s.tx.access, s.tx.placement = a, at
 			return o
 		}
-		a.close()
+		s.tx.access.close()
+		s.tx.access = nil
 		if !retry {
 			return o
 		}
--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -25,7 +25,8 @@
 }
 
 func (c *callerSession) newAccess(announcement topo.Announcement, term topo.Term) *access {
-	return &access{session: c, announcement: announcement, term: term, member: c.server.opts.Upstreams.Get(announcement)}
+	c.latest = &access{session: c, announcement: announcement, term: term, member: c.server.opts.Upstreams.Get(announcement)}
+	return c.latest
 }
 
 // open waits for a slot and a connection. If admission refuses the request,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/accept"
+	"github.com/cicadacove/cicadacove/internal/contain"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/retry"
@@ -142,7 +143,12 @@
 		return ln.Close()
 	}
 	accept.Each(ln, "entry", func(conn net.Conn) {
-		s.wg.Go(func() { s.serveConn(conn) })
+		s.wg.Go(func() {
+			if err := contain.Run(func() { s.serveConn(conn) }); err != nil {
+				klog.ErrorS(err, "entry: unexpected error; the session ends", "stack", contain.Stack(err))
+				conn.Close()
+			}
+		})
 	})
 	return nil
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/contain"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/session"
@@ -57,6 +59,8 @@
 
 	txState string
 	tx      *transaction
+	// latest is the access that the session opened last, nil before the first one.
+	latest *access
 
 	mu         sync.Mutex
 	idle       bool
@@ -78,7 +82,7 @@
 		if u == nil {
 			return
 		}
-		if err := c.serve(ctx, u); err != nil {
+		if err := c.serveContained(ctx, u); err != nil {
 			return
 		}
 		if c.drainingAtBoundary() {
@@ -198,6 +202,34 @@
 	}
 }
 
+// serveContained is serve, except that an unexpected error ends only the session.
+func (c *callerSession) serveContained(ctx context.Context, u *unit.Unit) (err error) {
+	unexpected := contain.Run(func() { err = c.serve(ctx, u) })
+	if unexpected == nil {
+		return err
+	}
+	klog.ErrorS(unexpected, "entry: unexpected error; the session ends", "group", c.group, "stack", contain.Stack(unexpected))
+	c.discardLatest()
+	refuseConn(c.conn, outcome.UnknownResult("an unexpected error occurred in the entry instance"))
+	return unexpected
+}
+
+// discardLatest closes the connection of the latest access, which may be in the middle
+// of an answer, and releases its slot.
+func (c *callerSession) discardLatest() {
+	a := c.latest
+	if a == nil {
+		return
+	}
+	if c.tx != nil && c.tx.access == a {
+		c.tx = nil
+	}
+	if a.conn != nil {
+		a.conn.Close()
+	}
+	a.close()
+}
+
 // serve answers one unit. An error means that no answer could be sent to the
 // caller.
 func (c *callerSession) serve(ctx context.Context, u *unit.Unit) error {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -146,9 +146,7 @@
 // abandon withdraws a request whose context has ended. It releases a slot that
 // was granted at the same time.
 func (g *Gate) abandon(p *Permit) (*Permit, outcome.Outcome) {
-	g.mu.Lock()
-	deliver(g.scheduler.Cancel(g.now(), p.ticket))
-	g.mu.Unlock()
+	g.cancel(p)
 	select {
 	case end := <-p.ready:
 		if end.Kind != "" {
@@ -160,6 +158,12 @@
 	return nil, contextEnded()
 }
 
+func (g *Gate) cancel(p *Permit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	deliver(g.scheduler.Cancel(g.now(), p.ticket))
+}
+
 // SetConnections bounds the requests that hold a connection at the same time,
 // from their permit until Permit.End. Zero means no bound; then End need not be
 // called. With a bound, a request with a permit always finds a free connection
--- a/internal/groupstate/upstream.go
+++ b/internal/groupstate/upstream.go
@@ -38,19 +38,7 @@
 
 // Gate returns the gate to an upstream and creates it at its first use.
 func (g *Group) Gate(a topo.Announcement) *gate.Gate {
-	g.mu.Lock()
-	u := g.upstream(a.ID)
-	created := u.gate == nil
-	if created {
-		u.gate = gate.New(gate.Options{
-			Slots: max(a.Slots, 1), Policy: g.set.admission,
-			OnDemandChange: func() { g.set.shares.DemandChanged(a.ID) },
-		})
-	}
-	gt := u.gate
-	announced := !created && a.Slots > 0 && u.slots != a.Slots
-	u.slots = max(a.Slots, u.slots)
-	g.mu.Unlock()
+	gt, created, announced := g.gateFor(a)
 	if announced && g.set.shares.Slots(a.ID) == 0 {
 		gt.SetSlots(a.Slots)
 	}
@@ -64,6 +52,24 @@
 	return gt
 }
 
+// gateFor returns the gate to an upstream, whether this call has created it, and
+// whether the upstream announces another number of slots than before.
+func (g *Group) gateFor(a topo.Announcement) (gt *gate.Gate, created, announced bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.upstream(a.ID)
+	created = u.gate == nil
+	if created {
+		u.gate = gate.New(gate.Options{
+			Slots: max(a.Slots, 1), Policy: g.set.admission,
+			OnDemandChange: func() { g.set.shares.DemandChanged(a.ID) },
+		})
+	}
+	announced = !created && a.Slots > 0 && u.slots != a.Slots
+	u.slots = max(a.Slots, u.slots)
+	return u.gate, created, announced
+}
+
 // Gates returns the gates that exist.
 func (g *Group) Gates() map[topo.UpstreamID]*gate.Gate {
 	g.mu.Lock()
