membership: slots and connections of an announcement have limits

What operators would see: a database that announces slots near 2^63 was accepted; twice that number, which the instances share, overflows into a negative one.

Result: both new tests failed before (accepted) and pass. That the overflow starves a database was read, not run.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"encoding/pem"
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -403,3 +405,20 @@
 		require.ErrorAs(t, err, &apiErr)
 	})
 }
+
+// Guards against announcements whose numbers overflow in later sums and products.
+func TestAnnouncementsOutOfRangeNameTheField(t *testing.T) {
+	const text = `{"group":"g","id":"g/a","zone":"z","addr":"127.0.0.1:1","role":"replica","slots":%d,"connections":%d}`
+	for field, numbers := range map[string][2]int{
+		"slots":       {math.MaxInt, 20},
+		"connections": {3, math.MaxInt},
+	} {
+		_, err := decodeAnnouncement([]byte(fmt.Sprintf(text, numbers[0], numbers[1])))
+		var refused *Error
+		require.ErrorAs(t, err, &refused, field)
+		require.Len(t, refused.Fields, 1)
+		require.Equal(t, field, refused.Fields[0].Field)
+	}
+	_, err := decodeAnnouncement([]byte(fmt.Sprintf(text, topo.MaxSlots, topo.MaxConnections)))
+	require.NoError(t, err)
+}
--- a/internal/admin/announce.go
+++ b/internal/admin/announce.go
@@ -88,12 +88,13 @@
 	if a.Role != topo.RoleReplica && a.Role != topo.RolePrimary {
 		errs.Add("role", contract.ProblemUnknown, fmt.Sprintf("%q is neither replica nor primary", a.Role))
 	}
-	if a.Slots < 0 {
-		errs.Add("slots", contract.ProblemOutOfRange, "must not be negative")
-	}
-	if a.Connections < 0 {
-		errs.Add("connections", contract.ProblemOutOfRange, "must not be negative")
+	inRange := func(field string, value, highest int) {
+		if value < 0 || value > highest {
+			errs.Add(field, contract.ProblemOutOfRange, fmt.Sprintf("is %d, must be 0 to %d", value, highest))
+		}
 	}
+	inRange("slots", a.Slots, topo.MaxSlots)
+	inRange("connections", a.Connections, topo.MaxConnections)
 	if len(errs) > 0 {
 		return a, &Error{Code: CodeBadRequest, Message: "the announcement is invalid", Fields: errs}
 	}
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
 // testRoute returns a valid route, changed by edit.
@@ -71,7 +72,7 @@
 		}
 	}
 	for _, g := range c.Groups {
-		between(1, g.Connections, MaxConnections)
+		between(1, g.Connections, topo.MaxConnections)
 		between(contract.MinDurability, g.Durability, contract.MaxDurability)
 	}
 }
--- a/internal/core/catalog/limits.go
+++ b/internal/core/catalog/limits.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
 // Limits of the values in use. A catalog with a value beyond them is valid, and the
@@ -21,8 +22,6 @@
 	MinMaxAge = 10 * time.Millisecond
 	// MaxDuration limits all durations. Sums and small multiples of it can't overflow.
 	MaxDuration = 24 * time.Hour
-	// MaxConnections limits the connections to one database.
-	MaxConnections = 1 << 20
 )
 
 // limited returns the route with all values within their limits. A route without a
@@ -44,7 +43,7 @@
 
 // limited returns the group with all values within their limits.
 func (g Group) limited() Group {
-	g.Connections = clamp(g.Connections, 1, MaxConnections)
+	g.Connections = clamp(g.Connections, 1, topo.MaxConnections)
 	g.Durability = clamp(g.Durability, contract.MinDurability, contract.MaxDurability)
 	return g
 }
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -186,3 +186,21 @@
 	require.Empty(t, Peers("e000", members[:1], 3))
 	require.Len(t, Peers("e000", members[:2], 3), 1)
 }
+
+// Guards against announcements whose numbers overflow where slots and connections are
+// shared among the instances.
+func TestAnnouncementsOutOfRangeAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*topo.Announcement){
+		"many slots":           func(a *topo.Announcement) { a.Slots = topo.MaxSlots + 1 },
+		"negative slots":       func(a *topo.Announcement) { a.Slots = -1 },
+		"many connections":     func(a *topo.Announcement) { a.Connections = topo.MaxConnections + 1 },
+		"negative connections": func(a *topo.Announcement) { a.Connections = -1 },
+	} {
+		a := announcement(5, 2)
+		change(&a)
+		require.Equal(t, RefusedMalformed, NewRegistry(ttl).Receive(a, start), name)
+	}
+	largest := announcement(5, 2)
+	largest.Slots, largest.Connections = topo.MaxSlots, topo.MaxConnections
+	require.Equal(t, Updated, NewRegistry(ttl).Receive(largest, start))
+}
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -202,7 +202,7 @@
 	if a.Role != topo.RolePrimary && a.Role != topo.RoleReplica {
 		return false
 	}
-	return a.Slots >= 0 && a.Connections >= 0
+	return a.Slots >= 0 && a.Slots <= topo.MaxSlots && a.Connections >= 0 && a.Connections <= topo.MaxConnections
 }
 
 // differs reports whether b differs from a in a field that affects routing, the
--- a/internal/core/topo/topo.go
+++ b/internal/core/topo/topo.go
@@ -82,6 +82,13 @@
 	RolePrimary Role = "primary"
 )
 
+// Limits of an announcement, far above what a database offers. Multiples and sums of
+// them can't overflow.
+const (
+	MaxSlots       = 1<<15 - 1
+	MaxConnections = 1 << 20
+)
+
 // Announcement is the status that an upstream publishes about itself.
 // Incarnation increases with each restart of the upstream, Seq with each
 // announcement of an incarnation; together they order the announcements of one
