--- /dev/null
+++ b/internal/core/drain/drain.go
@@ -0,0 +1,61 @@
+// Package drain decides what a stopping entry instance does at each moment of its
+// grace period, so that everything it has accepted is answered before the process
+// is killed.
+//
+// The package does no I/O; time is an argument.
+package drain
+
+import "time"
+
+// Step is what the sessions of a stopping instance may still do. Later steps
+// include the earlier ones.
+type Step int
+
+// Steps of a drain, in their order.
+const (
+	// Serve: sessions go on, since the load balancer still sends new callers.
+	Serve Step = iota
+	// Leave: sessions end at their next statement boundary outside of transactions,
+	// and new ones are refused.
+	Leave
+	// EndTransactions: open transactions are rolled back at their next statement
+	// boundary.
+	EndTransactions
+	// Abandon: statements that still run are abandoned, and their callers learn the
+	// outcome as far as it is known.
+	Abandon
+	// Close: the remaining connections are closed.
+	Close
+)
+
+// String returns the name of the step, for logs.
+func (s Step) String() string {
+	return [...]string{"serve", "leave", "end transactions", "abandon", "close"}[s]
+}
+
+// Schedule holds the starts of the steps that depend on the time only, as offsets
+// from the signal to stop.
+type Schedule struct{ EndTransactions, Abandon, Close time.Duration }
+
+// NewSchedule divides a grace period. A statement that begins in the first half has
+// a third of the grace period to end; the rest is for the last answers and for what the
+// instance releases after its sessions.
+func NewSchedule(grace time.Duration) Schedule {
+	return Schedule{EndTransactions: grace / 2, Abandon: grace * 5 / 6, Close: grace * 11 / 12}
+}
+
+// StepAt returns the step at a time after the signal. moved means that new callers
+// are sent to other instances.
+func (s Schedule) StepAt(elapsed time.Duration, moved bool) Step {
+	switch {
+	case elapsed >= s.Close:
+		return Close
+	case elapsed >= s.Abandon:
+		return Abandon
+	case elapsed >= s.EndTransactions:
+		return EndTransactions
+	case moved:
+		return Leave
+	}
+	return Serve
+}
