--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -32,6 +32,8 @@
 	// Waited is the time until the statement had a slot and a connection.
 	Waited time.Duration
 	Took   time.Duration
+	// Undelivered is why the answer could not be sent to the caller, empty if it was.
+	Undelivered string
 }
 
 // Events receives notifications of decisions. Its methods must not block.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -72,6 +72,9 @@
 	r.State = s.State()
 	err := s.deliver(&r, deliver)
 	s.event.Outcome, s.event.Took = r.Outcome, time.Since(arrived)
+	if err != nil {
+		s.event.Undelivered = err.Error()
+	}
 	s.engine.opts.Events.StatementEnded(s.event)
 	return err
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -27,6 +27,10 @@
 // StatementEnded implements engine.Events.
 func (o *Observer) StatementEnded(e engine.StatementEnd) {
 	o.recordMetrics(e)
+	if o.Log != nil && e.Undelivered != "" {
+		o.Log.Event(logbudget.Failure, "engine: answer not delivered", "request", e.ID, "outcome", string(e.Outcome.Kind), "undelivered", e.Undelivered,
+			"upstream", string(e.Upstream), "took_ms", milliseconds(e.Took))
+	}
 	if o.Log == nil || isLocal(e) {
 		return
 	}
