--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -1,6 +1,6 @@
-// Package drain decides what a stopping entry instance does at each moment of its
-// grace period, so that everything it has accepted is answered before the process
-// is killed.
+// Package drain decides what a stopping entry instance or voter does at each moment
+// of its grace period, so that everything it has accepted is answered before the
+// process is killed.
 //
 // The package does no I/O; time is an argument.
 package drain
