peer: a reply that has arrived isn't lost to the end of its connection

What callers saw: a call failed with "connection closed before the reply" though its reply had been received, when the other side closed the connection right after it, as a stopping process does.

Cause: the waiting call selects among its reply, the end of the link and its context. The goroutine that reads delivers the reply and then ends the link; if the caller runs only then, both are ready and select takes either.

Fix: when the link or the context has ended, a reply that is there counts.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -80,9 +80,19 @@
 	case f := <-reply:
 		return f, nil
 	case <-l.done:
-		return Frame{}, ErrClosed
+		return arrived(reply, ErrClosed)
 	case <-ctx.Done():
-		return Frame{}, ctx.Err()
+		return arrived(reply, ctx.Err())
+	}
+}
+
+// arrived returns the reply if it is there, else err.
+func arrived(reply <-chan Frame, err error) (Frame, error) {
+	select {
+	case f := <-reply:
+		return f, nil
+	default:
+		return Frame{}, err
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -133,3 +133,35 @@
 	}
 	require.Equal(t, []timeline.Kind{timeline.ProcessStarted, timeline.ConfigAccepted, timeline.ConfigActive}, kinds)
 }
+
+// Guards against a reply that has arrived and is lost since the connection is closed
+// after it.
+func TestReplyBeforeTheEndOfTheConnectionIsDelivered(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if serverHandshake(conn, nil) != nil {
+					return
+				}
+				if f, err := ReadFrame(conn); err == nil {
+					_ = (&writer{conn: conn}).write(&Frame{ID: f.ID, Body: f.Body})
+				}
+			}()
+		}
+	}()
+	for range 300 {
+		c := NewClient(Options{})
+		rep, err := Call[number](t.Context(), c, ln.Addr().String(), "echo", number{3})
+		c.Close()
+		require.NoError(t, err)
+		require.Equal(t, number{3}, rep)
+	}
+}
