peer: the test of a stopping server calls only once it stops

TestShutdownLetsHandlersReply failed once in a run beside others ("Condition never satisfied"): its second call may arrive before Shutdown has begun, is then served rightly, and waits for the release like the first.

--- a/internal/peer/shutdown_test.go
+++ b/internal/peer/shutdown_test.go
@@ -74,15 +74,17 @@
 	cut := make(chan int)
 	go func() { cut <- s.Shutdown(t.Context(), time.Minute) }()
 	require.Eventually(t, func() bool {
-		_, err := Call[number](t.Context(), c, addr, "wait", number{8})
-		var remote *RemoteError
-		return errors.As(err, &remote) && remote.Text == ErrStopping.Error()
-	}, 10*time.Second, time.Millisecond, "a request that arrives later is refused with a reply")
+		conn, err := net.Dial("tcp", addr)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	}, 10*time.Second, time.Millisecond, "no new connections")
+	_, err := Call[number](t.Context(), c, addr, "wait", number{8})
+	require.Equal(t, &RemoteError{ErrStopping.Error()}, err, "a request that arrives later is refused with a reply")
 	require.NoError(t, Notify(t.Context(), c, addr, "note", number{}))
 	require.Eventually(t, func() bool { return g.notified.Load() == 1 }, 10*time.Second, time.Millisecond,
 		"running handlers may depend on messages")
-	_, err := net.Dial("tcp", addr)
-	require.Error(t, err, "no new connections")
 	close(g.release)
 	require.Equal(t, result{rep: number{7}}, <-done)
 	require.Zero(t, <-cut)
