node: a stop answers operators' requests and peer calls that were read

What callers saw: a request to the admin server, or a call of another instance, that ran while the process was stopped gracefully got a close.

Cause: drain ends callers' connections and gives the lease and the leadership back; then closeAll closes the admin server and the peer server at once.

Fix: after the transfer of leadership the admin server and then the peer server shut down, each within a second; what outlasts it is cancelled, so that its handler still answers. The drain delay is the notice in which answers of the admin server carry Connection: close.

Evidence, before: TestShutdownRepliesToTheCallsThatWereRead "peer: connection closed before the reply", TestShutdownAnswersTheRequestsOfOperators a url.Error in place of 503. After: both pass, and the tests of node, cluster, configrpc and voter.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +29,7 @@
 	"github.com/cicadacove/cicadacove/internal/entry"
 	"github.com/cicadacove/cicadacove/internal/expiry"
 	"github.com/cicadacove/cicadacove/internal/grants"
+	"github.com/cicadacove/cicadacove/internal/httpdrain"
 	"github.com/cicadacove/cicadacove/internal/lifecycle"
 	"github.com/cicadacove/cicadacove/internal/peer"
 	"github.com/cicadacove/cicadacove/internal/telemetry"
@@ -100,7 +100,7 @@
 	controller *control.Controller
 	peers      *peer.Server
 	client     *peer.Client
-	http       *http.Server
+	http       *httpdrain.Server
 	config     *configrpc.Client
 	grants     *grants.Grants
 	draining   atomic.Bool
@@ -148,7 +148,7 @@
 		backends.Timeline = n.opts.Recorder.Handler()
 	}
 	server := admin.New(backends, n.opts.AdminServer)
-	n.http = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	n.http = httpdrain.New(server.Handler(), 5*time.Second)
 	return nil
 }
 
@@ -224,12 +224,7 @@
 	if cert := n.opts.AdminServer.Certificate; cert != nil {
 		adminListener = tls.NewListener(adminListener, cert.Config())
 	}
-	n.group.Go("admin server", func(context.Context) error {
-		if err := n.http.Serve(adminListener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	n.group.Go("admin server", func(context.Context) error { return n.http.Serve(adminListener) })
 	klog.V(1).Infof("node: %s serves callers on %s", n.opts.ID, n.CallerAddr())
 }
 
@@ -259,6 +254,7 @@
 // boundaries, and finally releases its lease.
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.draining.Store(true)
+	n.http.Notice()
 	n.opts.Recorder.Record(timeline.PartProcess, timeline.ProcessStopping, timeline.Fields{})
 	select {
 	case <-time.After(n.opts.DrainDelay):
@@ -277,9 +273,32 @@
 		klog.Warningf("node: %s could not release its lease: %v", n.opts.ID, leaveErr)
 	}
 	n.transferLeadership(ctx)
+	n.answerAll(ctx)
 	return err
 }
 
+const (
+	// answerTimeout bounds the wait for the requests of operators, and then for the
+	// calls of other instances, that run at a graceful shutdown.
+	answerTimeout = time.Second
+	// cancelledTimeout is how long they may take to answer once they are cancelled.
+	cancelledTimeout = 100 * time.Millisecond
+)
+
+// answerAll lets the requests of operators and the calls of other instances that were
+// read end with an answer.
+func (n *Node) answerAll(ctx context.Context) {
+	requests, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	cutRequests := n.http.Shutdown(requests, cancelledTimeout)
+	calls, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	cutCalls := n.peers.Shutdown(calls, cancelledTimeout)
+	if cutRequests+cutCalls > 0 {
+		klog.InfoS("node: requests cut", "instance", n.opts.ID, "requests", cutRequests, "peer_calls", cutCalls)
+	}
+}
+
 // transferLeadership transfers the leadership to another voter, so that the
 // voters need not wait for an election.
 func (n *Node) transferLeadership(ctx context.Context) {
