entry: a refusal isn't destroyed by the bytes that nobody reads

What callers saw: a reset in place of "this entry instance is shutting down", outcome "not run", when a request crossed the refusal on its way, so that they couldn't tell that it had not run. One caller too many saw the same in place of 53300, since its startup message was never read.

Cause: refuseConn closed the connection at once. A connection that is closed with unread bytes is reset, and the reset discards what the caller has not received yet.

refuseConn now closes by lingering.Close: it ends the writing half, discards what the caller still sends, and closes once the caller has closed its side, after one second at the latest.

Ruled out: a close in untrack. It follows Terminate, an end of the caller's stream or an answer that could not be sent; every refusal goes through refuseConn.

One run of the package beside load failed otherwise, in TestTransactionKeepsItsConnection ("the upstream became unavailable", a test that refuses nobody); its log was not kept.

--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -10,17 +10,23 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/statement"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/core/unit"
+	"github.com/cicadacove/cicadacove/internal/lingering"
 )
 
 // startupTimeout bounds the time from accepting a caller's connection to
 // opening its session.
 const startupTimeout = 10 * time.Second
 
+// lingerTimeout is how long the server waits for a caller to close its connection after
+// the reason why the session ends.
+const lingerTimeout = time.Second
+
 // reportedParameters are the parameters that clients expect at startup.
 var reportedParameters = [][2]string{
 	{"server_version", "15.0"},
@@ -192,12 +198,18 @@
 	return host
 }
 
-// refuseConn sends the reason to the caller and closes the connection.
+// refuseConn sends the reason to the caller and closes the connection once the caller
+// has closed its side, after lingerTimeout at the latest.
 func refuseConn(conn net.Conn, o outcome.Outcome) {
 	msg := &pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: o.Code, Message: o.Reason, Detail: "outcome: " + string(o.Kind)}
 	conn.SetWriteDeadline(time.Now().Add(time.Second))
-	conn.Write(appendMessage(nil, msg))
-	conn.Close()
+	if _, err := conn.Write(appendMessage(nil, msg)); err != nil {
+		klog.V(2).Infof("entry: the reason could not be sent to caller %s: %v", conn.RemoteAddr(), err)
+		conn.Close()
+		return
+	}
+	// The caller has the reason; an error of the close changes nothing.
+	_ = lingering.Close(conn, lingerTimeout)
 }
 
 // cancel passes a cancel request to the session that it identifies, at this
