entry: a stop answers what it has accepted before it closes it

What callers saw: a closed connection in place of an answer when the grace period (limits.shutdown_timeout) was over, also in the middle of a statement that a database ran; a transaction could go on until then. A connection without a session held the drain for up to ten seconds and ended without a reason. A part of a request (Parse without Sync) did the same.

Causes: Shutdown had one step, the end of its context, at which it closed each connection and returned without waiting for the sessions. Sessions were interrupted between requests only. Connections weren't known to Shutdown until their sessions were open, and one that was accepted while the listener was being closed wasn't counted at all.

Shutdown now follows the schedule of core/drain, counted from the signal: sessions leave between requests; at half, transactions are rolled back, parts of requests are refused and both callers get FATAL 57P01, outcome "not run" (COMMIT was not sent); at five sixths, statements are abandoned: "not run", or "unknown" for a COMMIT or a repeatable write that was sent; at eleven twelfths what is left is closed. COMMIT isn't sent once statements are abandoned, and an abandoned statement doesn't count against its upstream. A startup has one second from the drain on, and then gets the same refusal. Shutdown returns after the accept loop and the last session; it returns an error if it had to close a connection whose caller had no reason yet. Each step logs what is left, with up to 20 request ids. Besides, drain() read the transaction of a session that was changing it.

Ruled out: pgproto3.Backend.Receive keeps a part of a message when a read deadline passes, so neither a drain nor the idle transaction limit loses synchronisation (TestIdleLimitKeepsThePartOfARequest passes before and after). Cancel requests and session lookups of peers are served until the components are closed, after the drain and the return of the lease (read, not run); no change. A connection that is still in the kernel's backlog when the listener closes was not accepted.

--- a/internal/cli/processes_test.go
+++ b/internal/cli/processes_test.go
@@ -36,6 +36,9 @@
 	admins    []string
 	databases []string
 	running   map[string]*exec.Cmd
+	// settings and env are added to those of the entry instances that start next.
+	settings string
+	env      []string
 }
 
 func freeAddrs(t *testing.T, n int) []string {
@@ -82,6 +85,7 @@
 func (d *deployment) start(name string, args ...string) {
 	cmd := exec.Command("cicadacove", args...)
 	cmd.Stderr = os.Stderr
+	cmd.Env = append(os.Environ(), d.env...)
 	out, err := cmd.StdoutPipe()
 	require.NoError(d.t, err)
 	require.NoError(d.t, cmd.Start())
@@ -99,6 +103,11 @@
 }
 
 func (d *deployment) startEntry(i int) {
+	d.start(fmt.Sprintf("entry-%d", i+1), "serve", d.writeSettings(i))
+}
+
+// writeSettings writes the settings file of an entry instance and returns its path.
+func (d *deployment) writeSettings(i int) string {
 	settings := fmt.Sprintf(`[instance]
 id = "entry-%d"
 zone = "zone-%d"
@@ -118,7 +127,7 @@
 password_file = %q
 `, i+1, i+1, d.callers[i], filepath.Join(d.dir, "users.toml"), d.peers[i], filepath.Join(d.dir, "peer.secret"),
 		strings.Join(d.peers, `", "`), d.admins[i], filepath.Join(d.dir, fmt.Sprintf("data-%d", i+1)), filepath.Join(d.dir, "password"))
-	d.start(fmt.Sprintf("entry-%d", i+1), "serve", d.write(fmt.Sprintf("entry-%d.toml", i+1), settings))
+	return d.write(fmt.Sprintf("entry-%d.toml", i+1), settings+d.settings)
 }
 
 func (d *deployment) startDatabase(i int) {
--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -98,7 +98,7 @@
 func (a *access) recordFailure(err error) error {
 	a.conn.Close()
 	switch {
-	case errors.Is(err, context.Canceled) || errors.Is(err, errLeaseEnded):
+	case errors.Is(err, context.Canceled) || errors.Is(err, errLeaseEnded) || errors.Is(err, errAbandoned):
 	case errors.Is(err, context.DeadlineExceeded):
 		// A slow statement does not show that the primary is unavailable; the
 		// agent's probes decide that.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -148,7 +148,7 @@
 // commitClaimed stores the answer with the request id and commits.
 func (w *write) commitClaimed() attempt.Event {
 	conn := w.access.conn
-	if !w.session.server.opts.Control.Holds(w.session.group, w.auth.Term) {
+	if w.finalCtx.Err() != nil || !w.session.server.opts.Control.Holds(w.session.group, w.auth.Term) {
 		w.rollback()
 		return attempt.NoEffect
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/cicadacove/cicadacove/internal/accept"
 	"github.com/cicadacove/cicadacove/internal/contain"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
+	"github.com/cicadacove/cicadacove/internal/core/drain"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/retry"
 	"github.com/cicadacove/cicadacove/internal/core/routing"
@@ -100,13 +101,32 @@
 	budgetMu sync.Mutex
 	budget   *retry.Budget
 
+	// work ends when running statements are abandoned.
+	work    context.Context
+	abandon context.CancelCauseFunc
+
 	mu       sync.Mutex
 	sessions map[uint32]*callerSession
-	draining bool
-	ln       net.Listener
-	wg       sync.WaitGroup
+	// conns holds the accepted connections.
+	conns map[net.Conn]connState
+	step  drain.Step
+	ln    net.Listener
+	// wg counts Serve and the accepted connections.
+	wg sync.WaitGroup
 }
 
+// connState is how far the caller of an accepted connection has got.
+type connState int
+
+const (
+	// connStarting: the session is being opened.
+	connStarting connState = iota
+	// connOpen: the session is open.
+	connOpen
+	// connAnswered: the caller has been sent the reason why its session ends.
+	connAnswered
+)
+
 // New returns a server and registers its handlers for peer requests.
 func New(opts Options) *Server {
 	if opts.Observer == nil {
@@ -125,7 +145,9 @@
 		registry: session.NewRegistry(maxRegistrySessions, registryRetention),
 		budget:   retry.NewBudget(),
 		sessions: map[uint32]*callerSession{},
+		conns:    map[net.Conn]connState{},
 	}
+	s.work, s.abandon = context.WithCancelCause(context.Background())
 	opts.Upstreams.OnExhausted = opts.Shares.DemandChanged
 	s.confirmer = upstream.NewConfirmer(s.observeStatus)
 	s.nextPID.Store(rand.Uint32() >> 1)
@@ -137,7 +159,11 @@
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
 	s.ln = ln
-	draining := s.draining
+	draining := s.step > drain.Serve
+	if !draining {
+		s.wg.Add(1)
+		defer s.wg.Done()
+	}
 	s.mu.Unlock()
 	if draining {
 		return ln.Close()
@@ -156,53 +182,11 @@
 // Callers returns the number of connected callers.
 func (s *Server) Callers() int { return int(s.callers.Load()) }
 
-// Shutdown stops accepting callers, lets running transactions finish and
-// closes idle callers' connections at a statement boundary. It returns when no
-// connection is left. If ctx ends first, it closes the remaining connections
-// and returns ctx's error.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	if s.ln != nil {
-		s.ln.Close()
-	}
-	for _, c := range s.sessions {
-		c.drain()
-	}
-	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		s.opts.Upstreams.Close()
-		return nil
-	case <-ctx.Done():
-		s.Close()
-		return ctx.Err()
-	}
-}
-
-// Close closes all caller connections immediately.
-func (s *Server) Close() {
-	s.mu.Lock()
-	s.draining = true
-	if s.ln != nil {
-		s.ln.Close()
-	}
-	for _, c := range s.sessions {
-		c.conn.Close()
-	}
-	s.mu.Unlock()
-	s.opts.Upstreams.Close()
-}
-
 func (s *Server) serveConn(conn net.Conn) {
+	defer s.forget(conn)
 	if n := s.callers.Add(1); n > int64(s.opts.Limits.Callers) {
 		s.callers.Add(-1)
-		refuseConn(conn, outcome.Refused(upstream.CodeTooManyConns, "this entry instance has too many callers"))
+		s.refuseConn(conn, conn, outcome.Refused(upstream.CodeTooManyConns, "this entry instance has too many callers"))
 		return
 	}
 	defer s.callers.Add(-1)
@@ -220,17 +204,49 @@
 	c.run()
 }
 
-// track registers a session. It returns false if the server is draining.
-func (s *Server) track(c *callerSession) bool {
+// beginStartup registers an accepted connection and bounds its startup.
+func (s *Server) beginStartup(conn net.Conn) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.step == drain.Close {
+		return errDraining
+	}
+	s.conns[conn] = connStarting
+	limit := startupTimeout
+	if s.step > drain.Serve {
+		limit = drainStartupTimeout
+	}
+	return conn.SetDeadline(time.Now().Add(limit))
+}
+
+// endStartup registers the session of an accepted connection. It returns false if the
+// server is draining.
+func (s *Server) endStartup(conn net.Conn, c *callerSession) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.step > drain.Serve || conn.SetDeadline(time.Time{}) != nil {
 		return false
 	}
+	s.conns[conn] = connOpen
 	s.sessions[c.pid] = c
 	return true
 }
 
+// markAnswered records that the caller has been sent the reason why its session ends.
+func (s *Server) markAnswered(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.conns[conn]; ok {
+		s.conns[conn] = connAnswered
+	}
+}
+
+func (s *Server) forget(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
 func (s *Server) untrack(c *callerSession) {
 	s.mu.Lock()
 	delete(s.sessions, c.pid)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -14,6 +14,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/contain"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
+	"github.com/cicadacove/cicadacove/internal/core/drain"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/session"
 	"github.com/cicadacove/cicadacove/internal/core/statement"
@@ -37,12 +38,14 @@
 
 // callerSession is one caller's connection.
 type callerSession struct {
-	server  *Server
-	conn    net.Conn
-	backend *pgproto3.Backend
-	pid     uint32
-	secret  [4]byte
-	user    string
+	server *Server
+	// accepted is the connection that the caller opened; conn is the same or the TLS
+	// connection on it.
+	accepted, conn net.Conn
+	backend        *pgproto3.Backend
+	pid            uint32
+	secret         [4]byte
+	user           string
 	// callerKey identifies the caller to admission control.
 	callerKey string
 	group     topo.GroupID
@@ -62,15 +65,19 @@
 	// latest is the access that the session opened last, nil before the first one.
 	latest *access
 
-	mu         sync.Mutex
-	idle       bool
-	draining   bool
+	mu sync.Mutex
+	// waiting is set while the session waits for its caller: between two units or
+	// within one, inside a transaction or not.
+	waiting, betweenUnits, inTransaction bool
+	drainStep                            drain.Step
+	// running is the id of the request that is being served, or empty.
+	running    string
 	activeConn *upstream.Conn
 }
 
 // run serves units until the caller disconnects or the server drains.
 func (c *callerSession) run() {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.server.work)
 	defer cancel()
 	defer c.rollbackOnDisconnect()
 	for {
@@ -85,15 +92,9 @@
 		if err := c.serveContained(ctx, u); err != nil {
 			return
 		}
-		if c.drainingAtBoundary() {
-			c.sendCloseReason(errDraining)
-			return
-		}
 	}
 }
 
-var errDraining = errors.New("entry: draining")
-
 // nextUnit reads messages up to the next Query or Sync. It returns nil without
 // an error if the caller has sent Terminate.
 func (c *callerSession) nextUnit() (*unit.Unit, error) {
@@ -116,89 +117,70 @@
 	}
 }
 
-// receive reads one message. Between units, a drain or the idle transaction
-// limit interrupts the wait.
+// receive reads one message. A drain may interrupt the wait, and between units the idle
+// transaction limit does. A message that has arrived in part is kept.
 func (c *callerSession) receive(first bool) (pgproto3.FrontendMessage, error) {
-	if first {
-		if err := c.markIdle(); err != nil {
+	for {
+		if err := c.beginWait(first); err != nil {
 			return nil, err
 		}
-	}
-	for {
 		msg, err := c.backend.Receive()
 		if err == nil {
-			c.markBusy()
+			c.endWait()
 			return msg, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if c.isDraining() && c.tx == nil {
-			return nil, errDraining
-		}
-		c.abortTransaction("idle_limit", "the transaction was idle for too long and has been rolled back")
-		if err := c.markIdle(); err != nil {
-			return nil, err
+		if !c.mustEnd(first) {
+			c.abortTransaction("idle_limit", "the transaction was idle for too long and has been rolled back")
 		}
 	}
 }
 
-func (c *callerSession) markIdle() error {
+// beginWait returns errDraining if the drain ends the session here.
+func (c *callerSession) beginWait(first bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	if c.drainStep.EndsSession(first, c.tx != nil) {
+		c.waiting = false
+		return errDraining
+	}
+	c.waiting, c.betweenUnits, c.inTransaction = true, first, c.tx != nil
 	deadline := time.Time{}
-	if c.draining && c.tx == nil {
-		deadline = time.Unix(1, 0)
-	} else if c.tx != nil {
+	if first && c.tx != nil {
 		deadline = time.Now().Add(c.server.opts.Limits.IdleTransaction)
 	}
 	return c.conn.SetReadDeadline(deadline)
 }
 
-func (c *callerSession) markBusy() {
+func (c *callerSession) endWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = false
+	c.waiting = false
 	c.conn.SetReadDeadline(time.Time{})
 }
 
-// drain ends the session at its next statement boundary outside of a
-// transaction.
-func (c *callerSession) drain() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.draining = true
-	if c.idle && c.tx == nil {
-		c.conn.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-func (c *callerSession) isDraining() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.draining
-}
-
-func (c *callerSession) drainingAtBoundary() bool {
-	return c.isDraining() && c.tx == nil && c.txState == transactionChart.Initial
-}
-
-// sendCloseReason sends the caller the reason why its session ends, unless the
-// connection is already closed.
+// sendCloseReason rolls an open transaction back and sends the caller the reason why its
+// session ends, unless the connection is already closed.
 func (c *callerSession) sendCloseReason(err error) {
+	rolledBack := ""
+	if c.tx != nil {
+		rolledBack = "; the transaction has been rolled back"
+	}
+	c.rollbackOnDisconnect()
 	var unsupported *unit.UnsupportedError
 	var tooLong *pgproto3.ExceededMaxBodyLenErr
 	switch {
 	case errors.Is(err, errDraining):
-		refuseConn(c.conn, outcome.Refused(outcome.CodeShuttingDown, "this entry instance is shutting down"))
+		c.server.refuseConn(c.accepted, c.conn, shuttingDown(rolledBack))
 	case errors.As(err, &tooLong):
-		refuseConn(c.conn, outcome.Refused("54000", "message: "+err.Error()))
+		c.server.refuseConn(c.accepted, c.conn, outcome.Refused("54000", "message: "+err.Error()))
 	case errors.As(err, &unsupported):
-		refuseConn(c.conn, outcome.Refused(outcome.CodeUnsupported, err.Error()))
+		c.server.refuseConn(c.accepted, c.conn, outcome.Refused(outcome.CodeUnsupported, err.Error()))
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed):
 	default:
-		refuseConn(c.conn, outcome.Refused(outcome.CodeProtocol, "message: "+err.Error()))
+		c.server.refuseConn(c.accepted, c.conn, outcome.Refused(outcome.CodeProtocol, "message: "+err.Error()))
 	}
 }
 
@@ -210,7 +192,7 @@
 	}
 	klog.ErrorS(unexpected, "entry: unexpected error; the session ends", "group", c.group, "stack", contain.Stack(unexpected))
 	c.discardLatest()
-	refuseConn(c.conn, outcome.UnknownResult("an unexpected error occurred in the entry instance"))
+	c.server.refuseConn(c.accepted, c.conn, outcome.UnknownResult("an unexpected error occurred in the entry instance"))
 	return unexpected
 }
 
@@ -248,6 +230,8 @@
 		return c.refuse(o)
 	}
 	c.server.groups.Get(c.group).RecordUse(arrived)
+	c.setRunning(req.id)
+	defer c.setRunning("")
 	r, err := c.serveRequest(ctx, req)
 	c.observe(req, r)
 	return err
@@ -352,6 +336,7 @@
 // deliver sends a result. It returns errLeaseEnded if the result acknowledges
 // a write and the lease has ended; then nothing has been sent.
 func (c *callerSession) deliver(req *request, r result) error {
+	r.outcome = c.afterAbandon(r.outcome)
 	buf := r.body
 	if r.outcome.Kind != outcome.Done && len(buf) == 0 {
 		buf = appendOutcome(nil, r.outcome)
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"time"
 
@@ -23,10 +24,6 @@
 // opening its session.
 const startupTimeout = 10 * time.Second
 
-// lingerTimeout is how long the server waits for a caller to close its connection after
-// the reason why the session ends.
-const lingerTimeout = time.Second
-
 // reportedParameters are the parameters that clients expect at startup.
 var reportedParameters = [][2]string{
 	{"server_version", "15.0"},
@@ -42,10 +39,14 @@
 // openSession negotiates a session on a new connection. For a cancel request
 // it returns a nil session and no error.
 func (s *Server) openSession(conn net.Conn) (*callerSession, error) {
-	if err := conn.SetDeadline(time.Now().Add(startupTimeout)); err != nil {
+	accepted := conn
+	if err := s.beginStartup(accepted); err != nil {
 		return nil, err
 	}
 	conn, backend, msg, err := s.negotiate(conn)
+	if s.interruptsStartup(err) {
+		s.refuseConn(accepted, conn, shuttingDown(""))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -58,20 +59,24 @@
 		return nil, fmt.Errorf("entry: unexpected startup message %T", msg)
 	}
 	c := s.newSession(conn, backend)
+	c.accepted = accepted
 	if o, ok := c.start(startup.Parameters); !ok {
-		refuseConn(conn, o)
+		s.refuseConn(accepted, conn, o)
 		return nil, errors.New(o.Reason)
 	}
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return nil, err
-	}
-	if !s.track(c) {
-		refuseConn(conn, outcome.Refused(outcome.CodeShuttingDown, "this entry instance is shutting down"))
-		return nil, errors.New("entry: shutting down")
+	if !s.endStartup(accepted, c) {
+		s.refuseConn(accepted, conn, shuttingDown(""))
+		return nil, errDraining
 	}
 	return c, nil
 }
 
+// interruptsStartup reports whether the error of a startup means that a drain has
+// bounded it.
+func (s *Server) interruptsStartup(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && s.isDraining()
+}
+
 // negotiate answers encryption requests until the startup message arrives.
 func (s *Server) negotiate(conn net.Conn) (net.Conn, *pgproto3.Backend, pgproto3.FrontendMessage, error) {
 	backend := pgproto3.NewBackend(conn, conn)
@@ -134,7 +139,11 @@
 	if err := c.readParameters(params); err != nil {
 		return outcome.Refused("22023", err.Error()), false
 	}
-	if err := c.authenticate(); err != nil {
+	err := c.authenticate()
+	if c.server.interruptsStartup(err) {
+		return shuttingDown(""), false
+	}
+	if err != nil {
 		return outcome.Refused("28P01", "authentication of user "+c.user+" failed"), false
 	}
 	if _, ok := c.server.opts.Control.Config().ForGroup(c.group); !ok {
@@ -199,8 +208,9 @@
 }
 
 // refuseConn sends the reason to the caller and closes the connection once the caller
-// has closed its side, after lingerTimeout at the latest.
-func refuseConn(conn net.Conn, o outcome.Outcome) {
+// has closed its side, after lingerTimeout at the latest. conn is the accepted
+// connection or the TLS connection on it.
+func (s *Server) refuseConn(accepted, conn net.Conn, o outcome.Outcome) {
 	msg := &pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: o.Code, Message: o.Reason, Detail: "outcome: " + string(o.Kind)}
 	conn.SetWriteDeadline(time.Now().Add(time.Second))
 	if _, err := conn.Write(appendMessage(nil, msg)); err != nil {
@@ -208,6 +218,7 @@
 		conn.Close()
 		return
 	}
+	s.markAnswered(accepted)
 	// The caller has the reason; an error of the close changes nothing.
 	_ = lingering.Close(conn, lingerTimeout)
 }
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -259,7 +259,7 @@
 	w.access = w.session.tx.access
 	w.bindLease(Authority{Term: w.access.term, Primary: w.access.announcement})
 	o, err := w.access.open(w.leaseCtx, w.req, true)
-	if err != nil || o.Kind != "" || !w.session.server.opts.Control.Holds(w.session.group, w.auth.Term) {
+	if err != nil || o.Kind != "" || w.finalCtx.Err() != nil || !w.session.server.opts.Control.Holds(w.session.group, w.auth.Term) {
 		w.access.conn.Close()
 		return attempt.NoEffect
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/cicadacove/cicadacove/internal/control"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
+	"github.com/cicadacove/cicadacove/internal/core/drain"
 	"github.com/cicadacove/cicadacove/internal/core/revision"
 	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/session"
@@ -256,23 +257,35 @@
 
 // Shutdown ends the process without interrupting a request: the instance first
 // reports that it is not ready, then closes callers' connections at statement
-// boundaries, and finally releases its lease.
+// boundaries, and finally releases its lease. The deadline of ctx ends the grace period
+// that package drain divides.
 func (n *Node) Shutdown(ctx context.Context) error {
+	began := time.Now()
 	n.draining.Store(true)
 	n.opts.Recorder.Record(timeline.PartProcess, timeline.ProcessStopping, timeline.Fields{})
 	select {
-	case <-time.After(n.opts.DrainDelay):
+	case <-time.After(n.drainDelay(ctx, began)):
 	case <-ctx.Done():
 	}
 	var err error
-	stopErr := n.group.Shutdown(func() { err = n.drain(ctx) })
+	stopErr := n.group.Shutdown(func() { err = n.drain(ctx, began) })
 	n.recordStop()
 	return errors.Join(err, stopErr)
 }
 
+// drainDelay returns the time for which the instance still accepts new callers: at most
+// until open transactions have to end.
+func (n *Node) drainDelay(ctx context.Context, began time.Time) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return n.opts.DrainDelay
+	}
+	return min(n.opts.DrainDelay, drain.NewSchedule(deadline.Sub(began)).EndTransactions)
+}
+
 // drain ends the callers' connections and gives back what the instance holds.
-func (n *Node) drain(ctx context.Context) error {
-	err := n.Entry.Shutdown(ctx)
+func (n *Node) drain(ctx context.Context, began time.Time) error {
+	err := n.Entry.Shutdown(ctx, began)
 	if leaveErr := n.Agent.Leave(ctx); leaveErr != nil {
 		klog.Warningf("node: %s could not release its lease: %v", n.opts.ID, leaveErr)
 	}
