cli: SIGHUP doesn't end serve, and SIGTERM during the start stops it cleanly

What operators saw: a SIGHUP ended `cicadacove serve` at once, with each request in it. A SIGTERM before the listeners and the disk were open ended the process by the signal, not with code 0; one during the rest of the start was kept until the node ran, and a second one then had no effect until the start was over.

Cause: nothing was registered for SIGHUP, whose default in Go ends the process. SIGTERM was registered after node.FromSettings, and the default effect of a second one was restored only after the start.

SIGHUP is logged, as on the platform: certificates are read again when their files change, and nothing else is reloaded. SIGTERM is registered first; if one came before the node starts, the process ends with code 0. A second one has its default effect from then on, as documented.

Evidence on: TestSIGHUPDoesNotEndServe "connection refused", TestSIGTERMDuringTheStart "broken pipe" (the process is gone). TestSecondSignalDuringTheStartEndsServe passes before and after; it guards the new registration. A second signal during node.Start itself was read, not run.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"io"
+	"os"
 	"os/signal"
 	"strconv"
 	"syscall"
@@ -34,7 +35,7 @@
 
 SIGTERM and SIGINT end it gracefully: it reports that it is not ready, waits for
 running transactions, closes the connections of idle callers and releases its
-lease. A second signal ends it at once.`,
+lease. A second signal ends it at once. SIGHUP is logged and changes nothing.`,
 		Example: "  cicadacove serve /etc/cicadacove/entry-1.toml",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -54,16 +55,34 @@
 	return flags.Set("v", strconv.Itoa(level))
 }
 
+// logSIGHUP logs each SIGHUP. There is nothing to reload: certificates are read again
+// when their files change, and other settings need a restart.
+func logSIGHUP(sighups <-chan os.Signal) {
+	for range sighups {
+		klog.Info("node: SIGHUP received; the running process does not read its settings again")
+	}
+}
+
 func serve(s settings.Settings, out io.Writer) error {
 	if err := setVerbosity(s.Log.Level); err != nil {
 		return err
 	}
+	sighups := make(chan os.Signal, 1)
+	signal.Notify(sighups, syscall.SIGHUP)
+	defer signal.Stop(sighups)
+	go logSIGHUP(sighups)
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// The next signal has its default effect, also while the node starts.
+	context.AfterFunc(signals, stop)
 	opts, err := node.FromSettings(s, Version)
 	if err != nil {
 		return err
 	}
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+	if signals.Err() != nil {
+		klog.Infof("node: %s is stopped before its start", s.Instance.ID)
+		return nil
+	}
 	n, err := node.Start(context.Background(), opts)
 	if err != nil {
 		return &ExitError{ExitFailed, err}
@@ -79,7 +98,6 @@
 		return &ExitError{ExitFailed, err}
 	case <-signals.Done():
 	}
-	stop()
 	klog.Infof("node: %s is shutting down", s.Instance.ID)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Limits.ShutdownTimeout))
 	defer cancel()
