--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -64,10 +64,7 @@
 // returns.
 func (s *Session[C]) Handle(ctx context.Context, st Statement, deliver func(Reply) error) error {
 	arrived := time.Now()
-	s.event = StatementEnd{ID: st.ID, Database: s.database, Verb: st.Verb}
-	if c := s.engine.opts.Catalog(); c != nil {
-		s.event.Config = c.Version
-	}
+	s.event = s.newEvent(st)
 	r := s.serveContained(ctx, st, arrived)
 	r.State = s.State()
 	err := s.deliver(&r, deliver)
@@ -79,9 +76,18 @@
 	return err
 }
 
+func (s *Session[C]) newEvent(st Statement) StatementEnd {
+	e := StatementEnd{ID: st.ID, Database: s.database, Verb: st.Verb}
+	if c := s.engine.opts.Catalog(); c != nil {
+		e.Config = c.Version
+	}
+	return e
+}
+
 // Refuse records a statement that was answered with the outcome without being served.
 func (s *Session[C]) Refuse(st Statement, o outcome.Outcome) {
-	s.event = StatementEnd{ID: st.ID, Database: s.database, Verb: st.Verb, Outcome: o}
+	s.event = s.newEvent(st)
+	s.event.Outcome = o
 	if route, ok := s.route(); ok {
 		s.event.Route = route
 	}
