--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -1,6 +1,6 @@
 // Package lifecycle runs the components of a process. They live and end together:
-// when one of them ends early, the process stops all others and ends with an
-// error, so that its supervisor restarts it.
+// when one of them ends early, the process answers what it has read, stops all others
+// and ends with an error, so that its supervisor restarts it.
 package lifecycle
 
 import (
@@ -20,6 +20,10 @@
 // the process alive.
 const StopTimeout = 2 * time.Second
 
+// AnswerTimeout bounds the time in which a process whose component has failed answers
+// what it has read.
+const AnswerTimeout = time.Second
+
 // PartError means that a component ended although it was not asked to stop.
 type PartError struct {
 	Part string
@@ -51,6 +55,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	close  func()
+	// answer is called before the components are stopped after a failure; it may be
+	// nil.
+	answer func(context.Context)
 	// failed is closed when a component has ended early, done when Stop is over.
 	failed, done chan struct{}
 
@@ -79,6 +86,11 @@
 	return g
 }
 
+// OnFailure sets what the group does when a component has ended early, before it stops
+// the others: answer should end the requests that were read, within its context. It must
+// be called before Go.
+func (g *Group) OnFailure(answer func(context.Context)) { g.answer = answer }
+
 // Go starts a component.
 func (g *Group) Go(part string, run func(context.Context) error) {
 	g.mu.Lock()
@@ -104,7 +116,7 @@
 	g.stopping, g.err = true, &PartError{part, err}
 	klog.ErrorS(err, "process: component ended early; stopping the process", "component", part)
 	close(g.failed)
-	g.cancel()
+	go func() { _ = g.Stop() }()
 }
 
 // Failed returns a channel that is closed when a component has ended early.
@@ -136,6 +148,7 @@
 
 func (g *Group) stopAll() {
 	defer close(g.done)
+	g.answerAfterFailure()
 	g.cancel()
 	g.close()
 	late := g.awaitEnd()
@@ -146,6 +159,29 @@
 	}
 }
 
+// answerAfterFailure calls answer if a component has failed, and waits for it within
+// AnswerTimeout.
+func (g *Group) answerAfterFailure() {
+	g.mu.Lock()
+	failed := g.err != nil
+	g.mu.Unlock()
+	if !failed || g.answer == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, AnswerTimeout)
+	defer cancel()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		g.answer(ctx)
+	}()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+		klog.InfoS("process: requests were not answered in time after a failure")
+	}
+}
+
 // Wait waits until the group has stopped and returns the error of Stop.
 func (g *Group) Wait() error {
 	<-g.done
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -85,3 +85,38 @@
 	}))
 	require.True(t, alive, "the others run until the drain is over")
 }
+
+// Guards against requests that are cut since another component has failed.
+func TestGroupAnswersWhatWasReadBeforeItStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := errors.New("no space left on device")
+		closed, answered := false, false
+		g := New(t.Context(), func() { closed = true })
+		g.OnFailure(func(ctx context.Context) {
+			deadline, ok := ctx.Deadline()
+			require.True(t, ok)
+			require.Equal(t, AnswerTimeout, time.Until(deadline))
+			answered = !closed && g.ctx.Err() == nil
+		})
+		g.Go("server", untilDone)
+		g.Go("voter", func(context.Context) error { return broken })
+		<-g.Failed()
+		require.ErrorIs(t, g.Stop(), broken)
+		require.True(t, answered)
+		require.True(t, closed)
+	})
+}
+
+func TestGroupEndsAlthoughTheAnswersHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := make(chan struct{})
+		defer close(hang)
+		broken := errors.New("input/output error")
+		g := New(t.Context(), func() {})
+		g.OnFailure(func(context.Context) { <-hang })
+		g.Go("voter", func(context.Context) error { return broken })
+		start := time.Now()
+		require.ErrorIs(t, g.Wait(), broken)
+		require.Equal(t, AnswerTimeout, time.Since(start))
+	})
+}
