entry: a long answer that fails in its middle ends with an error

What callers saw: a closed connection after the first part of a long answer, when the upstream failed or, at a stop, when the statement was abandoned.

Cause: parts of long answers are sent early, and a failure after that closed the connection. Parts end between messages, so the answer can end with an ErrorResponse and the session can go on; the connection is closed only if a part may have been sent by half. A read whose lease ended after a part was sent was besides routed again, so its caller would have had the first rows twice (read in the code, not run); it now ends with the same error.

--- a/internal/cluster/drain_test.go
+++ b/internal/cluster/drain_test.go
@@ -313,3 +313,31 @@
 	_, err = io.ReadAll(conn)
 	require.NoError(t, err, "the connection must end without a reset")
 }
+
+// Guards against a closed connection in place of the end of an answer whose first part
+// the caller has, on a replica and inside a transaction.
+func TestTruncatedAnswerEndsWithAnError(t *testing.T) {
+	c, g, ctx := startClusterWith(t, nil)
+	setup := connect(t, c, c.Entry(0), g, c.Profile.Urgent)
+	execRetry(t, ctx, setup, "CREATE TABLE booking (id INTEGER, note TEXT)")
+	for i := range 40 {
+		execRetry(t, ctx, setup, "INSERT INTO booking VALUES ($1, $2)", i, strings.Repeat("x", 64<<10))
+	}
+	for _, begin := range []bool{false, true} {
+		conn := connect(t, c, c.Entry(0), g, c.Profile.Low)
+		execRetry(t, ctx, conn, "SELECT count(*) FROM booking /*cicadacove.max_age='0s'*/")
+		if begin {
+			execRetry(t, ctx, conn, "BEGIN")
+		}
+		for _, db := range c.Databases() {
+			db.BreakMidResponse(0)
+		}
+		_, err := conn.Exec(ctx, "SELECT id, note FROM booking")
+		for _, db := range c.Databases() {
+			db.BreakMidResponse(-1)
+		}
+		var answer *pgconn.PgError
+		require.ErrorAs(t, err, &answer, "the answer ended without an error")
+		require.False(t, conn.IsClosed(), "the session goes on")
+	}
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -36,6 +36,9 @@
 	// streamed reports whether a part of the answer has been sent to the
 	// caller.
 	streamed bool
+	// interrupted is set if the sending of a part failed, so that the caller may have
+	// received half a message.
+	interrupted bool
 }
 
 func (a *answer) collect(msg pgproto3.BackendMessage) error {
@@ -52,6 +55,7 @@
 	}
 	a.streamed = true
 	err = a.flush(a.buf)
+	a.interrupted = err != nil && !errors.Is(err, errNoAuthority)
 	a.buf = a.buf[:0]
 	return err
 }
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -178,6 +178,9 @@
 	defer acc.close()
 	if d.Action == routing.UsePrimary {
 		if !c.server.opts.Control.Holds(c.group, acc.term) {
+			if r.partSent {
+				return truncatedResult(acc), nil
+			}
 			return result{}, errNoAuthority
 		}
 		if registerPoint && req.attrs.SessionID != "" {
@@ -220,25 +223,36 @@
 	}
 	a, err := acc.conn.Receive(ctx, out.Filter(ans.collect))
 	if err != nil && ans.streamed {
-		c.conn.Close()
-		return result{outcome: outcome.UnknownResult("the answer was truncated"), upstream: acc.announcement.ID}, nil
+		if ans.interrupted {
+			c.conn.Close()
+		}
+		return truncatedResult(acc), nil
 	}
 	if err != nil {
 		return result{}, acc.recordFailure(err)
 	}
 	if d.Action == routing.UseReplica && a.Point.Compare(before) < 0 {
 		acc.conn.Close()
+		if ans.streamed {
+			return truncatedResult(acc), nil
+		}
 		return result{}, errReplicaBehind
 	}
 	acc.recordAnswer(sentAt, a.Point)
 	markPrepared(out, acc.conn)
-	r := result{outcome: outcome.Outcome{Kind: outcome.Done}, body: ans.buf, upstream: acc.announcement.ID, role: acc.role()}
+	r := result{outcome: outcome.Outcome{Kind: outcome.Done}, body: ans.buf, upstream: acc.announcement.ID, role: acc.role(), partSent: ans.streamed}
 	if a.Err != nil {
 		r.outcome = failedOutcome(a.Err)
 	}
 	return r, nil
 }
 
+// truncatedResult returns the result of a read that failed after a part of its answer
+// was sent to the caller. It ends the answer with an error.
+func truncatedResult(acc *access) result {
+	return result{outcome: outcome.UnknownResult("the answer was truncated"), upstream: acc.announcement.ID, partSent: true}
+}
+
 // writeUnderLease returns a function that sends a part of a primary's answer
 // to the caller if the lease is still valid.
 func (c *callerSession) writeUnderLease(term topo.Term) func([]byte) error {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -285,6 +285,8 @@
 	term topo.Term
 	// point is the point of the acknowledged write, or zero.
 	point topo.Point
+	// partSent is set if the caller has been sent a part of the answer.
+	partSent bool
 }
 
 // newRequest determines the service of a unit and validates the caller's
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -207,7 +207,7 @@
 	}
 	a, err := acc.conn.Receive(ctx, out.Filter(ans.collect))
 	if err != nil {
-		if ans.streamed {
+		if ans.interrupted {
 			c.conn.Close()
 		}
 		return result{outcome: rolledBackOutcome()}, a, acc.recordFailure(err)
