node: a stop answers the operators' requests in flight

What operators saw: a closed connection in place of the answer to an order that the admin server had read when the instance stopped.

Cause: the HTTP server was closed, not shut down. After the drain and the return of the lease it is now shut down: no new requests, and those in flight have a second.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,10 @@
 // graceful shutdown.
 const leadershipTransferTimeout = time.Second
 
+// adminTimeout bounds the wait for the operators' requests that are in flight when the
+// instance has given back what it holds.
+const adminTimeout = time.Second
+
 // Node is a running process.
 type Node struct {
 	Agent *agent.Agent
@@ -290,9 +294,19 @@
 		klog.Warningf("node: %s could not release its lease: %v", n.opts.ID, leaveErr)
 	}
 	n.transferLeadership(ctx)
+	n.endAdmin(ctx)
 	return err
 }
 
+// endAdmin answers the operators' requests in flight and closes the admin server.
+func (n *Node) endAdmin(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	if err := n.http.Shutdown(ctx); err != nil {
+		klog.Warningf("node: %s ends with requests to its admin server in flight: %v", n.opts.ID, err)
+	}
+}
+
 // transferLeadership transfers the leadership to another voter, so that the
 // voters need not wait for an election.
 func (n *Node) transferLeadership(ctx context.Context) {
