--- a/internal/cluster/drain_test.go
+++ b/internal/cluster/drain_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +21,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/questionnaire"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/entry"
+	"github.com/cicadacove/cicadacove/internal/users"
 )
 
 // drainGrace is the grace period in tests of a drain.
@@ -341,3 +345,57 @@
 		require.False(t, conn.IsClosed(), "the session goes on")
 	}
 }
+
+// Guards against a TLS or SCRAM handshake that holds a drain, and against "authentication
+// failed" in place of the true reason.
+func TestStalledHandshakesEndAtADrain(t *testing.T) {
+	verifier, err := users.NewVerifier("app", "secret")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "users.toml")
+	require.NoError(t, os.WriteFile(path, []byte("[[user]]\nname = \"app\"\nverifier = \""+verifier+"\"\n"), 0o600))
+	credentials, err := users.Load(path)
+	require.NoError(t, err)
+	c, g, _ := startClusterWith(t, func(o *Options) {
+		o.Users = credentials
+		o.TLS = &tls.Config{Certificates: []tls.Certificate{selfSigned(t)}}
+	})
+	encrypting, request := dialRaw(t, c.Entry(0))
+	request.Send(&pgproto3.SSLRequest{})
+	require.NoError(t, request.Flush())
+	answer := make([]byte, 1)
+	_, err = io.ReadFull(encrypting, answer)
+	require.NoError(t, err)
+	require.Equal(t, "S", string(answer))
+	_, proving := dialRaw(t, c.Entry(0))
+	proving.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "app", "database": string(g)}})
+	require.NoError(t, proving.Flush())
+	msg, err := proving.Receive()
+	require.NoError(t, err)
+	require.IsType(t, &pgproto3.AuthenticationSASL{}, msg)
+	ended := beginStop(t, c, c.Entry(0))
+	msg, err = proving.Receive()
+	require.NoError(t, err)
+	requireShutdownRefusal(t, msg)
+	_, err = io.ReadAll(encrypting)
+	require.NoError(t, err, "without keys there is no refusal, but also no reset")
+	require.NoError(t, <-ended)
+}
+
+// Guards against a caller that doesn't read its answer and holds a stop beyond its grace
+// period.
+func TestCallerThatDoesNotReadDoesNotHoldAStop(t *testing.T) {
+	c, g, ctx := startClusterWith(t, nil)
+	setup := connect(t, c, c.Entry(1), g, c.Profile.Urgent)
+	execRetry(t, ctx, setup, "CREATE TABLE booking (id INTEGER, note TEXT)")
+	execRetry(t, ctx, setup, "INSERT INTO booking VALUES (1, $1)", strings.Repeat("x", 512<<10))
+	conn, frontend := openRaw(t, c.Entry(0), g, c.Profile.Low)
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	for range 40 {
+		frontend.SendQuery(&pgproto3.Query{String: "SELECT note FROM booking"})
+	}
+	require.NoError(t, frontend.Flush())
+	time.Sleep(time.Second)
+	began := time.Now()
+	require.ErrorContains(t, <-beginStop(t, c, c.Entry(0)), "connections were closed")
+	require.Less(t, time.Since(began), drainGrace)
+}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -67,7 +67,7 @@
 	if left == 0 {
 		return nil
 	}
-	return fmt.Errorf("entry: %d connections were closed at the end of the grace period", left)
+	return fmt.Errorf("entry: connections were closed without a reason at the end of the grace period: %d", left)
 }
 
 // timedStep is a step of a drain and the time at which it begins.
