--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,7 +101,7 @@
 	Callers         int            `toml:"callers" validate:"min=1,max=1000000" unit:"connections" doc:"Connections of callers at one time; further ones are refused."`
 	MaxMessage      units.Bytes    `toml:"max_message" validate:"min=1024,max=1073741824" unit:"size" doc:"Longest protocol message of a caller or an upstream."`
 	DrainDelay      units.Duration `toml:"drain_delay" validate:"gte=0" unit:"duration" doc:"At a graceful shutdown, the time between readiness going red and the end of new callers: longer than the balancer's check."`
-	ShutdownTimeout units.Duration `toml:"shutdown_timeout" validate:"gt=0" unit:"duration" doc:"Longest time for which a graceful shutdown waits for running transactions."`
+	ShutdownTimeout units.Duration `toml:"shutdown_timeout" validate:"gt=0" unit:"duration" doc:"Grace period of a graceful shutdown, from the signal. Open transactions have half of it, running statements five sixths."`
 	IdleTransaction units.Duration `toml:"idle_transaction" validate:"gt=0" unit:"duration" doc:"Longest pause of a caller inside a transaction; then it is rolled back."`
 }
 
