accept: a stop accepts the connections that wait in the queue before it closes the listener

Cause: the kernel resets what waits in the queue of a listener that is closed.

Nothing uses Stop yet: the close of callersLn in platform/entry.go is to become accept.Stop(callersLn).

--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"testing"
 
@@ -38,3 +39,39 @@
 	require.NoError(t, ln.Close())
 	<-done
 }
+
+func TestStopDoesNotResetConnectionsInTheQueue(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var callers []net.Conn
+	for range 20 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		callers = append(callers, c)
+	}
+	require.NoError(t, Stop(ln))
+	Each(ln, "test", func(c net.Conn) {
+		c.Write([]byte("refused"))
+		c.Close()
+	})
+	for _, c := range callers {
+		answer, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.Equal(t, "refused", string(answer))
+	}
+	_, err = net.Dial("tcp", ln.Addr().String())
+	require.Error(t, err)
+}
+
+func TestStopEndsAWaitingListener(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Each(ln, "test", func(c net.Conn) { c.Close() })
+	}()
+	require.NoError(t, Stop(ln))
+	<-done
+}
