node, entry: the last answers of a stop fit into its grace period

Connections in the queue of the listener are accepted and refused here too, as on the platform, in place of a reset.

--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -44,6 +44,21 @@
 	return Schedule{EndTransactions: grace / 2, Abandon: grace * 5 / 6, Close: grace * 11 / 12}
 }
 
+// LastAnswers limits what an instance does after its sessions, once for the requests of
+// operators and once for the calls of other instances: it waits for those that run, and
+// then gives the cancelled ones time to answer.
+type LastAnswers struct{ Wait, Answer time.Duration }
+
+// maxLastAnswers bounds LastAnswers, whose calls are short.
+var maxLastAnswers = LastAnswers{Wait: time.Second, Answer: 100 * time.Millisecond}
+
+// NewLastAnswers divides what remains of a grace period. An eighth is left for the end of
+// the process; the answers of other instances' calls count twice, since their
+// connections are closed after them.
+func NewLastAnswers(remaining time.Duration) LastAnswers {
+	return LastAnswers{Wait: min(maxLastAnswers.Wait, remaining/4), Answer: min(maxLastAnswers.Answer, remaining/8)}
+}
+
 // StepAt returns the step at a time after the signal. moved means that new callers
 // are sent to other instances.
 func (s Schedule) StepAt(elapsed time.Duration, moved bool) Step {
--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -65,3 +65,12 @@
 		require.Equal(t, c.notified, c.step.AtBoundary(notified), "%s, notified", c.step)
 	}
 }
+
+func TestLastAnswersFitIntoWhatRemains(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		remaining := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "remaining"))
+		l := NewLastAnswers(remaining)
+		require.LessOrEqual(t, 2*l.Wait+3*l.Answer, remaining*7/8)
+		require.LessOrEqual(t, l.Wait, time.Second)
+	})
+}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/accept"
 	"github.com/cicadacove/cicadacove/internal/core/drain"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 )
@@ -124,8 +125,8 @@
 	s.mu.Lock()
 	first := s.step == drain.Serve
 	s.step = max(s.step, step)
-	if s.ln != nil {
-		s.ln.Close()
+	if s.ln != nil && first {
+		s.stopListener()
 	}
 	for conn, state := range s.conns {
 		if first && state == connStarting {
@@ -141,6 +142,14 @@
 	}
 }
 
+// stopListener accepts and refuses the connections that wait in the queue of the
+// listener, and closes it.
+func (s *Server) stopListener() {
+	if err := accept.Stop(s.ln); err != nil {
+		klog.Warningf("entry: stop the listener: %v", err)
+	}
+}
+
 func (s *Server) closeConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -290,28 +291,30 @@
 	return err
 }
 
-const (
-	// answerTimeout bounds the wait for the requests of operators, and then for the
-	// calls of other instances, that run at a graceful shutdown.
-	answerTimeout = time.Second
-	// cancelledTimeout is how long they may take to answer once they are cancelled.
-	cancelledTimeout = 100 * time.Millisecond
-)
-
 // answerAll lets the requests of operators and the calls of other instances that were
-// read end with an answer.
+// read end with an answer, before ctx ends.
 func (n *Node) answerAll(ctx context.Context) {
-	requests, cancel := context.WithTimeout(ctx, answerTimeout)
+	last := drain.NewLastAnswers(remaining(ctx))
+	requests, cancel := context.WithTimeout(ctx, last.Wait)
 	defer cancel()
-	cutRequests := n.http.Shutdown(requests, cancelledTimeout)
-	calls, cancel := context.WithTimeout(ctx, answerTimeout)
+	cutRequests := n.http.Shutdown(requests, last.Answer)
+	calls, cancel := context.WithTimeout(ctx, last.Wait)
 	defer cancel()
-	cutCalls := n.peers.Shutdown(calls, cancelledTimeout)
+	cutCalls := n.peers.Shutdown(calls, last.Answer)
 	if cutRequests+cutCalls > 0 {
 		klog.InfoS("node: requests cut", "instance", n.opts.ID, "requests", cutRequests, "peer_calls", cutCalls)
 	}
 }
 
+// remaining returns the time until the deadline of ctx, a very long one if it has none.
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return math.MaxInt64
+	}
+	return max(0, time.Until(deadline))
+}
+
 // transferLeadership transfers the leadership to another voter, so that the
 // voters need not wait for an election.
 func (n *Node) transferLeadership(ctx context.Context) {
