engine: an abandoned connect isn't a report about the primary

When a stopping instance abandoned a statement that waited for a connection to the primary, it counted as a failure of the primary and was reported to the control leader. Cause: only a plain cancel was recognised, and the cause is ErrStopping since the drain abandons statements by it.

--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -98,7 +98,7 @@
 func (a *access[C]) connectFailed(ctx context.Context, err error) {
 	var refused *RefusedError
 	switch {
-	case errors.Is(context.Cause(ctx), context.Canceled), errors.As(err, &refused), errors.Is(err, connpool.ErrExhausted):
+	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(context.Cause(ctx), ErrStopping), errors.As(err, &refused), errors.Is(err, connpool.ErrExhausted):
 		a.reached()
 	default:
 		a.failed(err)
