platform: the last step of a drain answers what has arrived

The last step now limits the wait instead of ending it, so what has arrived is read and answered first.

A caller that sent a whole transaction in one segment across the notification got its BEGIN refused and the statements behind it run as single ones. A session that has refused a statement now refuses all others.

--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -7,8 +7,7 @@
 
 import "time"
 
-// Step is what the sessions of a stopping instance may still do. Later steps
-// include the earlier ones.
+// Step is what the sessions of a stopping instance may still do, less with each step.
 type Step int
 
 // Steps of a drain, in their order.
@@ -19,12 +18,12 @@
 	// and new ones are refused.
 	Leave
 	// EndTransactions: open transactions are rolled back at their next statement
-	// boundary.
+	// boundary, and no statement begins any more.
 	EndTransactions
 	// Abandon: statements that still run are abandoned, and their callers learn the
 	// outcome as far as it is known.
 	Abandon
-	// Close: the remaining connections are closed.
+	// Close: the remaining connections are closed once what has arrived is answered.
 	Close
 )
 
@@ -33,15 +32,20 @@
 	return [...]string{"serve", "leave", "end transactions", "abandon", "close"}[s]
 }
 
-// Schedule holds the starts of the steps that depend on the time only, as offsets
-// from the signal to stop.
-type Schedule struct{ EndTransactions, Abandon, Close time.Duration }
+// Schedule divides a grace period.
+type Schedule struct {
+	// EndTransactions, Abandon and Close are the starts of the steps that depend on the
+	// time only, as offsets from the signal to stop.
+	EndTransactions, Abandon, Close time.Duration
+	// LastAnswers limits the last answers after Close, and also what the instance then
+	// releases: half of the rest of the grace period.
+	LastAnswers time.Duration
+}
 
 // NewSchedule divides a grace period. A statement that begins in the first half has
-// a third of the grace period to end; the rest is for the last answers and for what the
-// instance releases after its sessions.
+// a third of the grace period to end.
 func NewSchedule(grace time.Duration) Schedule {
-	return Schedule{EndTransactions: grace / 2, Abandon: grace * 5 / 6, Close: grace * 11 / 12}
+	return Schedule{EndTransactions: grace / 2, Abandon: grace * 5 / 6, Close: grace * 11 / 12, LastAnswers: grace / 24}
 }
 
 // LastAnswers limits what an instance does after its sessions, once for the requests of
@@ -82,6 +86,9 @@
 	InTransaction, Failed bool
 	// Notified: the caller has been asked to leave and has not sent a statement since.
 	Notified bool
+	// Refusing: a statement of the session has been refused because of the drain. Those
+	// after it, which may depend on it, are refused too.
+	Refusing bool
 	// Pending: a further statement has already arrived.
 	Pending bool
 }
@@ -98,22 +105,18 @@
 	Notify
 	// RollBack the open transaction and notify the caller.
 	RollBack
-	// End the session.
-	End
 )
 
 // AtBoundary returns what a session does at a statement boundary.
 func (s Step) AtBoundary(b Boundary) Action {
 	switch {
-	case s == Close:
-		return End
 	case b.Notified, s == Serve:
 		return Wait
 	case s >= EndTransactions && b.InTransaction:
 		return RollBack
 	case s >= EndTransactions:
 		return Notify
-	case b.InTransaction, b.Failed, b.Pending:
+	case b.InTransaction, b.Failed, b.Pending && !b.Refusing:
 		return Wait
 	}
 	return Notify
--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -34,7 +34,7 @@
 		s := NewSchedule(grace)
 		require.LessOrEqual(t, s.EndTransactions, grace/2)
 		require.GreaterOrEqual(t, s.Abandon, grace*5/6, "a database may work until the last sixth")
-		require.Less(t, s.Close, grace)
+		require.LessOrEqual(t, s.Close+s.LastAnswers*3/2, grace, "the last answers, then what is released, some of it at once")
 		latest := Serve
 		for elapsed := time.Duration(0); elapsed <= grace; elapsed += max(grace/37, 1) {
 			step := s.StepAt(elapsed, rapid.Bool().Draw(t, "moved") || latest >= Leave)
@@ -56,12 +56,14 @@
 		{Leave, Notify, Wait, Wait, Wait, Wait},
 		{EndTransactions, Notify, RollBack, Notify, Notify, Wait},
 		{Abandon, Notify, RollBack, Notify, Notify, Wait},
-		{Close, End, End, End, End, End},
+		{Close, Notify, RollBack, Notify, Notify, Wait},
 	} {
 		require.Equal(t, c.idle, c.step.AtBoundary(idle), "%s, idle", c.step)
 		require.Equal(t, c.open, c.step.AtBoundary(open), "%s, in a transaction", c.step)
 		require.Equal(t, c.failed, c.step.AtBoundary(failed), "%s, after a failed transaction", c.step)
 		require.Equal(t, c.pending, c.step.AtBoundary(pending), "%s, with a statement in the buffer", c.step)
+		refusing := Boundary{Pending: true, Refusing: true}
+		require.Equal(t, c.idle, c.step.AtBoundary(refusing), "%s, after a refused statement", c.step)
 		require.Equal(t, c.notified, c.step.AtBoundary(notified), "%s, notified", c.step)
 	}
 }
--- a/internal/core/drain/voter.go
+++ b/internal/core/drain/voter.go
@@ -18,13 +18,14 @@
 	// Requests and Peers end the wait for requests of the control API and for calls of
 	// other instances. Those that still run are cancelled.
 	Requests, Peers time.Duration
-	// Answer is how long cancelled requests may take to send their answers.
+	// Answer is how long cancelled requests may take to send their answers. It counts
+	// twice after Peers, since the other instances then close their connections.
 	Answer time.Duration
 }
 
 // NewVoterSchedule divides a grace period. heartbeat is the interval at which
 // upstreams use their connections; the notice covers it where the grace period allows.
-// At least an eighth of the grace period is left for the components of the process.
+// A twelfth of the grace period is left for the components of the process.
 func NewVoterSchedule(grace, heartbeat time.Duration) VoterSchedule {
 	return VoterSchedule{
 		Transfer: min(maxTransfer, grace/4),
--- a/internal/core/drain/voter_test.go
+++ b/internal/core/drain/voter_test.go
@@ -28,6 +28,6 @@
 		require.Positive(t, s.Answer)
 		require.GreaterOrEqual(t, s.Requests-max(s.Transfer, s.Notice), grace/3)
 		require.GreaterOrEqual(t, s.Peers-(s.Requests+s.Answer), grace/9)
-		require.LessOrEqual(t, s.Peers+s.Answer, grace*7/8)
+		require.LessOrEqual(t, s.Peers+2*s.Answer, grace*11/12)
 	})
 }
