--- a/internal/cli/processes_test.go
+++ b/internal/cli/processes_test.go
@@ -39,6 +39,8 @@
 	// settings and env are added to those of the entry instances that start next.
 	settings string
 	env      []string
+	// databaseArgs are added to those of the databases.
+	databaseArgs []string
 }
 
 func freeAddrs(t *testing.T, n int) []string {
@@ -140,7 +142,7 @@
 	} else {
 		args = append(args, "--primary", d.databases[0])
 	}
-	d.start(fmt.Sprintf("database-%d", i+1), args...)
+	d.start(fmt.Sprintf("database-%d", i+1), append(args, d.databaseArgs...)...)
 }
 
 // applyContract activates Selam's contract for the group ledger-1.
--- a/internal/cli/stop_test.go
+++ b/internal/cli/stop_test.go
@@ -78,7 +78,7 @@
 type stopLoad func(ctx context.Context, conn *pgx.Conn, a *answers) bool
 
 // stopLoads are single writes, short transactions, and one transaction that the caller
-// doesn't end. The number of callers leaves upstream connections free for the others.
+// doesn't end.
 var stopLoads = []struct {
 	callers int
 	run     stopLoad
@@ -104,8 +104,11 @@
 	}},
 	{1, func(ctx context.Context, conn *pgx.Conn, a *answers) bool {
 		_, err := conn.Exec(ctx, "BEGIN")
-		for err == nil {
+		if err == nil {
 			_, err = conn.Exec(ctx, "INSERT INTO booking VALUES ($1)", a.newID())
+		}
+		for err == nil {
+			_, err = conn.Exec(ctx, "SELECT 1")
 			time.Sleep(10 * time.Millisecond)
 		}
 		return a.record(err)
@@ -173,6 +176,7 @@
 		t.Run(fmt.Sprintf("GOMAXPROCS=%d", procs), func(t *testing.T) {
 			d := newDeployment(t)
 			d.settings, d.env = stopSettings, []string{fmt.Sprintf("GOMAXPROCS=%d", procs)}
+			d.databaseArgs = []string{"--slots", "24", "--connections", "240", "--service-time", "2ms"}
 			for i := range 3 {
 				d.startEntry(i)
 			}
