--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +30,7 @@
 	"github.com/cicadacove/cicadacove/internal/entry"
 	"github.com/cicadacove/cicadacove/internal/expiry"
 	"github.com/cicadacove/cicadacove/internal/grants"
+	"github.com/cicadacove/cicadacove/internal/httpdrain"
 	"github.com/cicadacove/cicadacove/internal/lifecycle"
 	"github.com/cicadacove/cicadacove/internal/peer"
 	"github.com/cicadacove/cicadacove/internal/telemetry"
@@ -90,10 +90,6 @@
 // graceful shutdown.
 const leadershipTransferTimeout = time.Second
 
-// adminTimeout bounds the wait for the operators' requests that are in flight when the
-// instance has given back what it holds.
-const adminTimeout = time.Second
-
 // Node is a running process.
 type Node struct {
 	Agent *agent.Agent
@@ -105,7 +101,7 @@
 	controller *control.Controller
 	peers      *peer.Server
 	client     *peer.Client
-	http       *http.Server
+	http       *httpdrain.Server
 	config     *configrpc.Client
 	grants     *grants.Grants
 	draining   atomic.Bool
@@ -153,7 +149,7 @@
 		backends.Timeline = n.opts.Recorder.Handler()
 	}
 	server := admin.New(backends, n.opts.AdminServer)
-	n.http = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	n.http = httpdrain.New(server.Handler(), 5*time.Second)
 	return nil
 }
 
@@ -229,12 +225,7 @@
 	if cert := n.opts.AdminServer.Certificate; cert != nil {
 		adminListener = tls.NewListener(adminListener, cert.Config())
 	}
-	n.group.Go("admin server", func(context.Context) error {
-		if err := n.http.Serve(adminListener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	n.group.Go("admin server", func(context.Context) error { return n.http.Serve(adminListener) })
 	klog.V(1).Infof("node: %s serves callers on %s", n.opts.ID, n.CallerAddr())
 }
 
@@ -266,6 +257,7 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	began := time.Now()
 	n.draining.Store(true)
+	n.http.Notice()
 	n.opts.Recorder.Record(timeline.PartProcess, timeline.ProcessStopping, timeline.Fields{})
 	select {
 	case <-time.After(n.drainDelay(ctx, began)):
@@ -294,16 +286,29 @@
 		klog.Warningf("node: %s could not release its lease: %v", n.opts.ID, leaveErr)
 	}
 	n.transferLeadership(ctx)
-	n.endAdmin(ctx)
+	n.answerAll(ctx)
 	return err
 }
 
-// endAdmin answers the operators' requests in flight and closes the admin server.
-func (n *Node) endAdmin(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+const (
+	// answerTimeout bounds the wait for the requests of operators, and then for the
+	// calls of other instances, that run at a graceful shutdown.
+	answerTimeout = time.Second
+	// cancelledTimeout is how long they may take to answer once they are cancelled.
+	cancelledTimeout = 100 * time.Millisecond
+)
+
+// answerAll lets the requests of operators and the calls of other instances that were
+// read end with an answer.
+func (n *Node) answerAll(ctx context.Context) {
+	requests, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	cutRequests := n.http.Shutdown(requests, cancelledTimeout)
+	calls, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	if err := n.http.Shutdown(ctx); err != nil {
-		klog.Warningf("node: %s ends with requests to its admin server in flight: %v", n.opts.ID, err)
+	cutCalls := n.peers.Shutdown(calls, cancelledTimeout)
+	if cutRequests+cutCalls > 0 {
+		klog.InfoS("node: requests cut", "instance", n.opts.ID, "requests", cutRequests, "peer_calls", cutCalls)
 	}
 }
 
