entry: callers in the queue of the listener get the refusal, not a reset

What callers saw: a reset when they had connected and the stopping instance had not accepted them yet, for instance for lack of processor time.

The listener is stopped by accept.Stop, which accepts what waits.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/accept"
 	"github.com/cicadacove/cicadacove/internal/core/drain"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 )
@@ -124,9 +126,7 @@
 	s.mu.Lock()
 	first := s.step == drain.Serve
 	s.step = max(s.step, step)
-	if s.ln != nil {
-		s.ln.Close()
-	}
+	s.stopListener()
 	for conn, state := range s.conns {
 		if first && state == connStarting {
 			conn.SetDeadline(time.Now().Add(drainStartupTimeout))
@@ -141,6 +141,21 @@
 	}
 }
 
+// stopListener ends the accepting of callers. Those that are connected already are
+// accepted, and refused, unless the server closes everything. s.mu must be held.
+func (s *Server) stopListener() {
+	if s.ln == nil {
+		return
+	}
+	stop := accept.Stop
+	if s.step == drain.Close {
+		stop = net.Listener.Close
+	}
+	if err := stop(s.ln); err != nil && !errors.Is(err, net.ErrClosed) {
+		klog.Warningf("entry: could not stop the listener: %v", err)
+	}
+}
+
 func (s *Server) closeConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -69,3 +69,49 @@
 	require.Equal(t, outcome.CodeShuttingDown, refusal.Code)
 	require.NoError(t, <-served)
 }
+
+// busyListener accepts nothing until it is released, like a process without processor
+// time.
+type busyListener struct {
+	*net.TCPListener
+	released chan struct{}
+}
+
+func (l *busyListener) Accept() (net.Conn, error) {
+	<-l.released
+	return l.TCPListener.Accept()
+}
+
+// Guards against a reset of callers that have connected before the listener is closed.
+func TestCallersInTheQueueOfTheListenerAreAnswered(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	busy := &busyListener{ln.(*net.TCPListener), make(chan struct{})}
+	s := New(Options{Upstreams: upstream.NewSet("", "", nil, nil), Limits: DefaultLimits()})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(busy) }()
+	var callers []net.Conn
+	for range 5 {
+		caller, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		defer caller.Close()
+		callers = append(callers, caller)
+	}
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(ctx, time.Now()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(busy.released)
+	for _, caller := range callers {
+		msg, err := pgproto3.NewFrontend(caller, caller).Receive()
+		require.NoError(t, err)
+		refusal, ok := msg.(*pgproto3.ErrorResponse)
+		require.True(t, ok, "%T", msg)
+		require.Equal(t, outcome.CodeShuttingDown, refusal.Code)
+		require.NoError(t, caller.Close())
+	}
+	require.NoError(t, <-ended)
+	require.NoError(t, <-served)
+}
