--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -125,9 +126,7 @@
 	s.mu.Lock()
 	first := s.step == drain.Serve
 	s.step = max(s.step, step)
-	if s.ln != nil && first {
-		s.stopListener()
-	}
+	s.stopListener()
 	for conn, state := range s.conns {
 		if first && state == connStarting {
 			conn.SetDeadline(time.Now().Add(drainStartupTimeout))
@@ -142,11 +141,18 @@
 	}
 }
 
-// stopListener accepts and refuses the connections that wait in the queue of the
-// listener, and closes it.
+// stopListener ends the accepting of callers. Those that are connected already are
+// accepted, and refused, unless the server closes everything. s.mu must be held.
 func (s *Server) stopListener() {
-	if err := accept.Stop(s.ln); err != nil {
-		klog.Warningf("entry: stop the listener: %v", err)
+	if s.ln == nil {
+		return
+	}
+	stop := accept.Stop
+	if s.step == drain.Close {
+		stop = net.Listener.Close
+	}
+	if err := stop(s.ln); err != nil && !errors.Is(err, net.ErrClosed) {
+		klog.Warningf("entry: could not stop the listener: %v", err)
 	}
 }
 
