--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -5,6 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,3 +110,82 @@
 		require.Equal(t, stopping, resp.Close)
 	}
 }
+
+// gatedListener accepts connections that read nothing while the gate is closed, like
+// those of a process that gets no processor time.
+type gatedListener struct {
+	net.Listener
+	gate *sync.RWMutex
+	// looks counts the checks for unread bytes.
+	looks *atomic.Int64
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return gatedConn{conn.(*net.TCPConn), l}, nil
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	ln gatedListener
+}
+
+func (c gatedConn) SyscallConn() (syscall.RawConn, error) {
+	defer c.ln.looks.Add(1)
+	return c.TCPConn.SyscallConn()
+}
+
+func (c gatedConn) Read(b []byte) (int, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	// Wait for bytes without reading them.
+	_ = raw.Read(func(uintptr) bool { return unread(c.TCPConn) })
+	c.ln.gate.RLock()
+	defer c.ln.gate.RUnlock()
+	return c.TCPConn.Read(b)
+}
+
+// Guards against a request that has arrived and is cut since nobody has read it yet.
+func TestShutdownAnswersARequestThatHasArrivedUnread(t *testing.T) {
+	t.Run("on a kept connection", func(t *testing.T) { testUnread(t, true, 0) })
+	// net/http takes a new connection for an idle one after 5 s.
+	t.Run("on a new connection", func(t *testing.T) { testUnread(t, false, 6500*time.Millisecond) })
+}
+
+// testUnread stops a server a while after a request has arrived, on a connection that has
+// served one before if kept is set.
+func testUnread(t *testing.T, kept bool, after time.Duration) {
+	s := New(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), time.Minute)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gated := gatedListener{ln, new(sync.RWMutex), new(atomic.Int64)}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(gated) }()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	if kept {
+		send(t, conn)
+		_, err = http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return len(s.idleConns()) == 1 }, 10*time.Second, time.Millisecond)
+	}
+	gated.gate.Lock()
+	send(t, conn)
+	time.Sleep(20*time.Millisecond + after)
+	cut := make(chan int)
+	go func() { cut <- s.Shutdown(t.Context(), time.Minute) }()
+	require.Eventually(t, func() bool { return gated.looks.Load() > 0 }, 10*time.Second, time.Millisecond)
+	gated.gate.Unlock()
+	resp, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	require.True(t, resp.Close)
+	require.Zero(t, <-cut)
+	require.NoError(t, <-served)
+}
