--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -133,8 +133,9 @@
 func (s *Server) Running() int { return int(s.running.Load()) }
 
 // Shutdown waits until requests that have arrived are read, closes the listeners and the
-// idle connections and waits for the running requests. When ctx ends it cancels those that still run, gives their handlers the
-// time answer to respond, and cuts the rest. It returns their number.
+// idle connections and waits for the running requests. When ctx ends it cancels those
+// that still run, gives their handlers the time answer to respond, and cuts the rest. It
+// returns their number.
 func (s *Server) Shutdown(ctx context.Context, answer time.Duration) (cut int) {
 	s.Notice()
 	s.awaitRead(ctx)
