cli: the tests of separate processes draw ports that no outgoing connection can take

The test draws a free port, closes it and starts a process that listens on it; the port is of the range of outgoing connections, so any connection of another process may have it by then (read in the code; not shown which one had it). The addresses are now of a loopback IP of the test process, from which nobody else connects.

--- a/internal/cli/processes_test.go
+++ b/internal/cli/processes_test.go
@@ -43,11 +43,18 @@
 	databaseArgs []string
 }
 
+// processIP returns a loopback address of this process. Outgoing connections of other
+// processes have other addresses, and so can't use a port between its choice and its use.
+func processIP() string {
+	pid := os.Getpid()
+	return net.IPv4(127, 90, byte(pid>>8), max(1, byte(pid))).String()
+}
+
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
 	var addrs []string
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", processIP()+":0")
 		require.NoError(t, err)
 		defer ln.Close()
 		addrs = append(addrs, ln.Addr().String())
