--- a/internal/core/replog/members.go
+++ b/internal/core/replog/members.go
@@ -17,6 +17,29 @@
 	ErrStillActive   = errors.New("replog: the member to replace is still responsive")
 )
 
+// ChangeReason tells why a leader changed the membership.
+type ChangeReason string
+
+// Reasons of membership changes.
+const (
+	ChangeAdded        ChangeReason = "added"
+	ChangeMarked       ChangeReason = "marked for promotion"
+	ChangePromoted     ChangeReason = "promoted"
+	ChangeReplaced     ChangeReason = "disk lost"
+	ChangeRemoved      ChangeReason = "removed"
+	ChangeUnresponsive ChangeReason = "unresponsive"
+)
+
+// MemberChange describes a membership change that a leader has appended.
+type MemberChange struct {
+	Reason ChangeReason
+	Member Member
+	Index  uint64
+	// Voters, Active and Wanted are the numbers of voters after the change: all of
+	// them, the active ones, and how many the leader maintains.
+	Voters, Active, Wanted int
+}
+
 // AddLearner adds a non-voting member.
 func (n *Node) AddLearner(m Member) (index, term uint64, err error) {
 	members := n.log.membership()
@@ -26,7 +49,7 @@
 		return 0, 0, ErrAlreadyMember
 	}
 	m.Voter = false
-	return n.changeMembers(members.With(m))
+	return n.changeMembers(ChangeAdded, m, members.With(m))
 }
 
 // Promote makes a learner a voter if it has stored all committed entries.
@@ -45,11 +68,15 @@
 	}
 	m.Voter = true
 	m.PromoteWhenCaughtUp = false
-	return n.changeMembers(members.With(m))
+	return n.changeMembers(ChangePromoted, m, members.With(m))
 }
 
 // Remove removes a member. It refuses to remove the last voter.
 func (n *Node) Remove(id string) (index, term uint64, err error) {
+	return n.remove(id, ChangeRemoved)
+}
+
+func (n *Node) remove(id string, reason ChangeReason) (index, term uint64, err error) {
 	members := n.log.membership()
 	m, ok := members.Find(id)
 	if !ok {
@@ -58,7 +85,7 @@
 	if m.Voter && len(members.Voters()) == 1 {
 		return 0, 0, ErrLastVoter
 	}
-	return n.changeMembers(members.Without(id))
+	return n.changeMembers(reason, m, members.Without(id))
 }
 
 // Replace removes the member with m's address and adds m as a learner that is
@@ -78,14 +105,14 @@
 	}
 	m.Voter = false
 	m.PromoteWhenCaughtUp = old.Voter || old.PromoteWhenCaughtUp
-	return n.changeMembers(members.Without(old.ID).With(m))
+	return n.changeMembers(ChangeReplaced, m, members.Without(old.ID).With(m))
 }
 
 // changeMembers appends a membership entry, which takes effect immediately. At
 // most one such entry is uncommitted at a time, and none is appended before an
 // entry of the current term is committed. This ensures that the quorums of any
 // two memberships in effect at the same time intersect.
-func (n *Node) changeMembers(members Membership) (index, term uint64, err error) {
+func (n *Node) changeMembers(reason ChangeReason, m Member, members Membership) (index, term uint64, err error) {
 	switch {
 	case n.role != Leader:
 		return 0, 0, ErrNotLeader
@@ -96,6 +123,11 @@
 	}
 	index = n.appendEntry(Entry{Kind: EntryMembers, Members: members})
 	n.trackMembers()
+	voters := members.Voters()
+	n.changes = append(n.changes, MemberChange{
+		Reason: reason, Member: m, Index: index,
+		Voters: len(voters), Active: n.activeVoters(voters), Wanted: n.wantedVoters(0),
+	})
 	return index, n.hard.Term, nil
 }
 
--- a/internal/core/replog/node.go
+++ b/internal/core/replog/node.go
@@ -59,7 +59,8 @@
 	// leader is the known leader of hard.Term. Within a term it changes only from
 	// empty to one identity, and back to empty when a leader steps down.
 	leader string
-	// lastLeaderContact is when the node last received a message from the leader.
+	// lastLeaderContact is when the node last received a message from the leader, or
+	// started.
 	lastLeaderContact time.Time
 	// leaderSince is when this node became leader.
 	leaderSince time.Time
@@ -89,7 +90,9 @@
 	early, messages []Message
 	// received is a snapshot to store and restore from.
 	received *Snapshot
-	fault    error
+	// changes are the membership changes that this leader has appended.
+	changes []MemberChange
+	fault   error
 }
 
 // New returns a node that starts from the stored state in cfg.
@@ -102,6 +105,8 @@
 		now:     cfg.Now,
 		hard:    cfg.Stored.Hard,
 		log:     newLog(cfg.Stored),
+
+		lastLeaderContact: cfg.Now,
 	}
 	n.role = Role(n.chart.Initial)
 	n.hard.Commit = 0
--- a/internal/core/replog/ready.go
+++ b/internal/core/replog/ready.go
@@ -35,6 +35,8 @@
 	Confirmed []Confirmation
 	// Refused are confirmation requests that failed.
 	Refused []uint64
+	// Changes are the membership changes that this node has appended as the leader.
+	Changes []MemberChange
 	// Fault is set if this node must stop because its disk lost entries that it
 	// had acknowledged.
 	Fault error
@@ -69,10 +71,11 @@
 		Committed:   n.log.applicable(),
 		Confirmed:   n.confirmed,
 		Refused:     n.refused,
+		Changes:     n.changes,
 		Fault:       n.fault,
 	}
 	n.early, n.messages, n.received = nil, nil, nil
-	n.confirmed, n.refused = nil, nil
+	n.confirmed, n.refused, n.changes = nil, nil, nil
 	return rd
 }
 
@@ -119,6 +122,12 @@
 	SnapshotIndex                   uint64
 	LeaderSince                     time.Time
 	Members                         Membership
+	// LeaderlessSince is when a node without an active leader last received a message
+	// from one, or started. It is zero while a leader is active.
+	LeaderlessSince time.Time
+	// WantedVoters is the number of voters that the leader maintains. It is zero on
+	// other nodes.
+	WantedVoters int
 	// ActiveVoters is the number of voters, the leader included, that have replied
 	// to the leader lately. It is zero on other nodes.
 	ActiveVoters int
@@ -148,10 +157,38 @@
 	if n.role == Leader {
 		s.LeaderSince = n.leaderSince
 		s.ActiveVoters = n.activeVoters(s.Members.Voters())
+		s.WantedVoters = n.wantedVoters(0)
+	}
+	if !n.hasActiveLeader() {
+		s.LeaderlessSince = n.lastLeaderContact
 	}
 	return s
 }
 
+// MemberKind is how a node takes part in its cluster.
+type MemberKind string
+
+// Kinds of members.
+const (
+	NoMember      MemberKind = "none"
+	LearnerMember MemberKind = "learner"
+	VoterMember   MemberKind = "voter"
+)
+
+// MemberKind returns how the node takes part by the latest membership that it knows.
+// A node that was removed may not have received its removal.
+func (s Status) MemberKind() MemberKind {
+	m, ok := s.Members.Find(s.ID)
+	switch {
+	case !ok:
+		return NoMember
+	case m.Voter:
+		return VoterMember
+	default:
+		return LearnerMember
+	}
+}
+
 // FurtherLosses returns how many of the active voters may still fail before the
 // cluster can't commit entries. It is negative if it can't now. Only the status of
 // a leader tells.
--- a/internal/core/replog/reconcile.go
+++ b/internal/core/replog/reconcile.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		m.PromoteWhenCaughtUp = true
-		_, _, err := n.changeMembers(members.With(m))
+		_, _, err := n.changeMembers(ChangeMarked, m, members.With(m))
 		return err == nil
 	}
 	return false
@@ -91,29 +91,31 @@
 		if !isDue {
 			continue
 		}
-		if _, _, err := n.Remove(m.ID); err == nil {
+		if _, _, err := n.remove(m.ID, ChangeUnresponsive); err == nil {
 			return
 		}
 	}
 }
 
 // needsVoters reports whether there are fewer active voters than wanted,
-// assuming that joining further members become active. The wanted number is
-// odd: an even number tolerates no more failures than the odd number below it.
+// assuming that joining further members become active.
 func (n *Node) needsVoters(joining int) bool {
-	voters, active := 0, joining
+	return n.activeVoters(n.log.membership().Voters()) < n.wantedVoters(joining)
+}
+
+// wantedVoters returns the number of voters that the leader maintains, assuming that
+// joining further members become active. It is odd: an even number tolerates no more
+// failures than the odd number below it.
+func (n *Node) wantedVoters(joining int) int {
+	active := joining
 	for _, m := range n.log.membership() {
-		if m.ID != n.cfg.ID && !n.isActive(m.ID) {
-			continue
-		}
-		active++
-		if m.Voter {
-			voters++
+		if m.ID == n.cfg.ID || n.isActive(m.ID) {
+			active++
 		}
 	}
 	wanted := min(n.cfg.Voters, active)
 	wanted -= (wanted + 1) % 2
-	return voters < max(wanted, minVoters)
+	return max(wanted, minVoters)
 }
 
 // recordUnknownCandidate records a join request for a node that sends pre-votes
--- a/internal/docstore/docstore.go
+++ b/internal/docstore/docstore.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/document"
@@ -68,9 +69,9 @@
 	if s.log.Status().IsLeader() {
 		return s.putLocal(ctx, d)
 	}
-	addr := s.log.Status().LeaderAddr
-	if addr == "" {
-		return document.Result{}, ErrNoLeader
+	addr, err := s.leaderAddr()
+	if err != nil {
+		return document.Result{}, err
 	}
 	r, err := peer.Call[putReply](ctx, s.client, addr, kindPut, d)
 	if err == nil && r.NotLeader {
@@ -79,6 +80,16 @@
 	return r.Result, err
 }
 
+// leaderAddr returns the address of the leader, or an error that tells why there is
+// none.
+func (s *Store) leaderAddr() (string, error) {
+	status := s.log.Status()
+	if status.LeaderAddr == "" {
+		return "", fmt.Errorf("%w: %s", ErrNoLeader, status.DescribeNoLeader(time.Now()))
+	}
+	return status.LeaderAddr, nil
+}
+
 func (s *Store) putLocal(ctx context.Context, d document.Document) (document.Result, error) {
 	data, err := ctlstate.Command{Section: document.Put(d)}.Encode()
 	if err != nil {
@@ -109,9 +120,9 @@
 	if s.log.Status().IsLeader() {
 		return s.readLocal(ctx)
 	}
-	addr := s.log.Status().LeaderAddr
-	if addr == "" {
-		return document.Document{}, false, ErrNoLeader
+	addr, err := s.leaderAddr()
+	if err != nil {
+		return document.Document{}, false, err
 	}
 	r, err := peer.Call[readReply](ctx, s.client, addr, kindRead, struct{}{})
 	if err == nil && r.NotLeader {
--- a/internal/telemetry/attributes.go
+++ b/internal/telemetry/attributes.go
@@ -53,6 +53,12 @@
 	return append(k.serviceKey.attributes(), keyOutcome.String(string(k.outcome)), keyCode.String(k.code))
 }
 
+type stateKey struct{ state string }
+
+func (k stateKey) attributes() []attribute.KeyValue {
+	return []attribute.KeyValue{keyState.String(k.state)}
+}
+
 type floorKey struct {
 	serviceKey
 	kept bool
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -39,6 +39,9 @@
 	leader          metric.Int64Gauge
 	primaryLeaving  metric.Float64Gauge
 	furtherLosses   metric.Int64Gauge
+	memberKind      metric.Int64Gauge
+	voters          metric.Int64Gauge
+	leaderless      metric.Float64Gauge
 	diskUnavailable metric.Float64Gauge
 	controlBytes    metric.Int64Counter
 	droppedLogLines metric.Int64Counter
@@ -98,6 +101,9 @@
 		leader:          b.gauge("cicadacove.control.leader", "{leader}", "1 when the instance's voter leads, else 0"),
 		primaryLeaving:  b.secondsGauge("cicadacove.control.primary_leaving", "Longest time for which a primary in use has been leaving, by the leader; else 0"),
 		furtherLosses:   b.gauge("cicadacove.control.further_losses", "{voter}", "Voters that may still fail before control stops, by the leader"),
+		memberKind:      b.gauge("cicadacove.control.member", "{member}", "1 for how the instance takes part in control (none, learner or voter), else 0"),
+		voters:          b.gauge("cicadacove.control.voters", "{voter}", "Voters by the leader: listed, active and wanted"),
+		leaderless:      b.secondsGauge("cicadacove.control.leaderless", "Time for which the instance's voter has had no leader; else 0"),
 		diskUnavailable: b.secondsGauge("cicadacove.control.disk_unavailable", "Time for which the voter has waited for a data folder that can't be written; else 0"),
 		controlBytes:    b.counter("cicadacove.control.bytes", "By", "Bytes sent between entry instances"),
 		droppedLogLines: b.counter("cicadacove.log.left_out", "{line}", "Log lines that were left out, by class"),
@@ -277,6 +283,32 @@
 	i.furtherLosses.Record(context.Background(), int64(voters))
 }
 
+// Member sets how the instance takes part in control and for how long its voter has had
+// no leader.
+func (i *Instruments) Member(kind string, leaderless time.Duration) {
+	if i == nil {
+		return
+	}
+	for _, k := range []string{"none", "learner", "voter"} {
+		value := int64(0)
+		if k == kind {
+			value = 1
+		}
+		i.memberKind.Record(context.Background(), value, i.option(stateKey{k}))
+	}
+	i.leaderless.Record(context.Background(), leaderless.Seconds())
+}
+
+// Voters sets the numbers of voters as the leader knows them.
+func (i *Instruments) Voters(listed, active, wanted int) {
+	if i == nil {
+		return
+	}
+	i.voters.Record(context.Background(), int64(listed), i.option(stateKey{"listed"}))
+	i.voters.Record(context.Background(), int64(active), i.option(stateKey{"active"}))
+	i.voters.Record(context.Background(), int64(wanted), i.option(stateKey{"wanted"}))
+}
+
 // DiskUnavailable sets how long the voter has waited for its data folder.
 func (i *Instruments) DiskUnavailable(waiting time.Duration) {
 	if i == nil {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -28,6 +28,8 @@
 	i.ConfigRevision(12)
 	i.ReplicaLag("ledger-1/b", 40)
 	i.Leader(true)
+	i.Member("learner", 1500*time.Millisecond)
+	i.Voters(5, 4, 5)
 	i.ControlBytes(100)
 }
 
@@ -58,6 +60,11 @@
 		`cicadacove_config_revision 12`,
 		`cicadacove_replica_lag{upstream="ledger-1/b"} 40`,
 		`cicadacove_control_leader 1`,
+		`cicadacove_control_member{state="none"} 0`,
+		`cicadacove_control_member{state="learner"} 1`,
+		`cicadacove_control_leaderless_seconds 1.5`,
+		`cicadacove_control_voters{state="listed"} 5`,
+		`cicadacove_control_voters{state="active"} 4`,
 		`cicadacove_control_bytes_total 100`,
 	} {
 		require.Contains(t, w.Body.String(), line+"\n")
--- a/internal/voter/log.go
+++ b/internal/voter/log.go
@@ -5,7 +5,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/replog"
 )
 
 // Log is the interface of the replicated log for the control plane.
@@ -39,12 +42,31 @@
 	// LeaderSince is when this voter became leader, by its own clock; zero
 	// when it is not the leader.
 	LeaderSince time.Time
+	// Member is how this voter takes part in its cluster. LeaderlessSince is when it
+	// lost its leader, zero while it has one.
+	Member          replog.MemberKind
+	LeaderlessSince time.Time
 }
 
 // IsLeader reports whether the voter has the role of the leader. Another voter
 // may have been elected since; use Log.Confirm to rule that out.
 func (s Status) IsLeader() bool { return !s.LeaderSince.IsZero() }
 
+// DescribeNoLeader tells why this voter can't name a leader.
+func (s Status) DescribeNoLeader(now time.Time) string {
+	reason := "this instance is no member of the cluster"
+	switch s.Member {
+	case replog.VoterMember:
+		reason = "this voter has no quorum"
+	case replog.LearnerMember:
+		reason = "this learner receives nothing from a leader"
+	}
+	if s.LeaderlessSince.IsZero() {
+		return reason
+	}
+	return fmt.Sprintf("%s, for %v", reason, now.Sub(s.LeaderlessSince).Round(time.Millisecond))
+}
+
 // Machine is the state that the log replicates. Apply must be deterministic.
 // The voter calls all methods from one goroutine.
 type Machine interface {
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -46,6 +46,7 @@
 	snapshotIndex uint64
 	// loggedStatus is the status at the last call of logChanges.
 	loggedStatus replog.Status
+	leaderless   leaderlessLog
 
 	mu      sync.Mutex
 	status  replog.Status
@@ -170,6 +171,7 @@
 			return err
 		}
 		v.node.Advance(rd)
+		v.logMemberChanges(rd.Changes)
 		if err := v.maybeSnapshot(); err != nil {
 			return err
 		}
@@ -258,25 +260,6 @@
 	v.sendResponses()
 }
 
-// logChanges logs changes of the role, of the members and of the nodes that
-// wait to join.
-func (v *Voter) logChanges(s replog.Status) {
-	if s.Role != v.loggedStatus.Role {
-		klog.InfoS("voter: role changed", "voter", s.ID, "role", string(s.Role), "term", s.Term, "leader", s.Leader)
-	}
-	if !slices.Equal(s.Members, v.loggedStatus.Members) {
-		klog.Infof("voter: members are now %v", s.Members)
-	}
-	if s.Role == replog.Leader && s.ActiveVoters != v.loggedStatus.ActiveVoters {
-		klog.InfoS("voter: active voters changed", "voter", s.ID, "active", s.ActiveVoters, "voters", len(s.Members.Voters()),
-			"further_losses", s.FurtherLosses())
-	}
-	if !slices.Equal(s.Waiting, v.loggedStatus.Waiting) {
-		klog.Infof("voter: waiting to join: %v", s.Waiting)
-	}
-	v.loggedStatus = s
-}
-
 func (v *Voter) setStatus(s replog.Status) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -292,7 +275,8 @@
 	return a.Leader == b.Leader && a.LeaderAddr == b.LeaderAddr && a.Role == b.Role &&
 		a.Term == b.Term && a.Applied == b.Applied && a.Commit == b.Commit &&
 		a.LeaderSince.Equal(b.LeaderSince) && slices.Equal(a.Members, b.Members) &&
-		a.ActiveVoters == b.ActiveVoters && slices.Equal(a.Waiting, b.Waiting)
+		a.ActiveVoters == b.ActiveVoters && a.WantedVoters == b.WantedVoters &&
+		a.LeaderlessSince.Equal(b.LeaderlessSince) && slices.Equal(a.Waiting, b.Waiting)
 }
 
 // stop sets the status to that of a voter that does not lead and fails all open
@@ -315,6 +299,7 @@
 	return Status{
 		ID: s.ID, Leader: s.Leader, LeaderAddr: s.LeaderAddr,
 		Term: s.Term, Applied: s.Applied, LeaderSince: s.LeaderSince,
+		Member: s.MemberKind(), LeaderlessSince: s.LeaderlessSince,
 	}
 }
 
