replog: a node without a leader finds the members from any state

Cause: a node that belongs to no cluster sent its join request to its seeds alone, and only a leader took it. Seeds are a list that lags: they name followers, learners, wiped or removed nodes as well. A replacement whose seeds didn't include the leader stayed out for good, a learner that had been removed while it was away asked nobody, and the voters that were left were few enough for two lost disks. Change: a node without a leader, of whatever role, asks all nodes that it knows: the members by its log, its seeds, and whatever others have named. Messages to the identity that a wiped node had before name their sender too. A leader admits only nodes of its own cluster, or of none. This takes the place of the note that a leader took of pre-votes of unknown nodes. Ruled out: passing the request on at a follower.

--- a/internal/core/replog/election.go
+++ b/internal/core/replog/election.go
@@ -76,7 +76,6 @@
 
 // onPreVote replies to a pre-candidate. The reply is not binding.
 func (n *Node) onPreVote(m Message) {
-	n.recordUnknownCandidate(m)
 	grant := m.Term > n.hard.Term &&
 		!n.hasActiveLeader() &&
 		n.log.isUpToDate(m.Index, m.LogTerm)
--- a/internal/core/replog/follow.go
+++ b/internal/core/replog/follow.go
@@ -23,6 +23,7 @@
 	n.raise(evLeaderSeen)
 	n.leader = m.From
 	n.lastLeaderContact = n.now
+	n.contacts = nil
 }
 
 func (n *Node) onAppend(m Message) {
--- a/internal/core/replog/join.go
+++ b/internal/core/replog/join.go
@@ -6,14 +6,27 @@
 	"time"
 )
 
-// maxJoinRequests limits the number of pending join requests.
-const maxJoinRequests = 16
+const (
+	// maxJoinRequests limits the number of pending join requests.
+	maxJoinRequests = 16
+	// maxContacts limits the number of addresses learned from other nodes.
+	maxContacts = 32
+	// joinIntervalHeartbeats is the number of heartbeat intervals between two rounds of
+	// join requests.
+	joinIntervalHeartbeats = 2
+	// seekAfterTimeouts is the number of election timeouts without a leader after which
+	// a member sends join requests.
+	seekAfterTimeouts = 2
+)
 
-// joinState holds the peers' replies to a node without a cluster, and the join
-// requests that a leader has received.
+// joinState holds what a node without a leader knows of others, and the join requests
+// that a leader has received.
 type joinState struct {
-	// joinDue is when a node without a cluster sends its next join requests.
+	// joinDue is when a node without a leader sends its next join requests.
 	joinDue time.Time
+	// seeds are configured addresses besides Config.Peers. contacts are addresses
+	// learned from other nodes since the last contact with a leader, the latest last.
+	seeds, contacts []string
 	// uninitialisedPeers maps the address of each peer that has reported no
 	// cluster state to its identity. It covers replies since this node started.
 	uninitialisedPeers map[string]string
@@ -36,24 +49,69 @@
 	return n.hard == HardState{} && n.log.last() == 0
 }
 
-func (n *Node) tickLearner() {
-	if n.hasMembers() || n.now.Before(n.joinDue) {
+// seekLeader asks all known nodes for the leader while none is active. A node that is
+// no member is admitted by it. A member waits for an election first.
+func (n *Node) seekLeader() {
+	if n.hasActiveLeader() || n.now.Before(n.joinDue) {
 		return
 	}
-	n.joinDue = n.now.Add(2 * n.cfg.HeartbeatInterval)
-	for _, addr := range n.cfg.Peers {
-		if addr != n.cfg.Addr {
-			n.send(Message{Kind: MsgJoin, ToAddr: addr})
-		}
+	if n.hasMembers() && n.now.Sub(n.lastLeaderContact) < seekAfterTimeouts*n.cfg.ElectionTimeout {
+		return
+	}
+	n.joinDue = n.now.Add(joinIntervalHeartbeats * n.cfg.HeartbeatInterval)
+	for _, addr := range n.knownAddrs() {
+		n.send(Message{Kind: MsgJoin, ToAddr: addr})
 	}
 	n.maybeBootstrap()
 }
 
-// onJoin replies to a node that belongs to no cluster. If a member already has
-// the address of that node, the leader replaces the member with the node.
+// knownAddrs returns the addresses of all other nodes that this node knows: the members
+// by its log, the configured ones, and those that others have named.
+func (n *Node) knownAddrs() []string {
+	var addrs []string
+	for _, m := range n.log.membership() {
+		addrs = append(addrs, m.Addr)
+	}
+	addrs = slices.Concat(addrs, n.cfg.Peers, n.seeds, n.contacts)
+	slices.Sort(addrs)
+	addrs = slices.Compact(addrs)
+	return slices.DeleteFunc(addrs, func(addr string) bool { return addr == n.cfg.Addr })
+}
+
+// SetSeeds sets further addresses to contact while there is no leader. They don't affect
+// the bootstrap of a cluster.
+func (n *Node) SetSeeds(addrs []string) { n.seeds = slices.Clone(addrs) }
+
+// learnContacts keeps addresses of other nodes, at most maxContacts, while no leader is
+// active.
+func (n *Node) learnContacts(addrs ...string) {
+	if n.hasActiveLeader() {
+		return
+	}
+	known := n.knownAddrs()
+	for _, addr := range addrs {
+		if addr == "" || addr == n.cfg.Addr || slices.Contains(known, addr) || slices.Contains(n.contacts, addr) {
+			continue
+		}
+		n.contacts = append(n.contacts, addr)
+	}
+	n.contacts = n.contacts[max(0, len(n.contacts)-maxContacts):]
+}
+
+// learnFormerPeer keeps the address of a node that still sends messages to the identity
+// which this node's address had before its disk was lost.
+func (n *Node) learnFormerPeer(m Message) {
+	if m.To != n.cfg.ID && m.ToAddr == n.cfg.Addr && (n.hard.Cluster == "" || n.hard.Cluster == m.Cluster) {
+		n.learnContacts(m.FromAddr)
+	}
+}
+
+// onJoin replies to a node without a leader. If this node leads and the sender is no
+// member, it admits the sender, in place of a member that had its address.
 func (n *Node) onJoin(m Message) {
-	n.reply(m, Message{Kind: MsgJoinReply, Reject: !n.isUninitialised()})
+	n.reply(m, Message{Kind: MsgJoinReply, Reject: !n.isUninitialised(), Contacts: n.knownAddrs()})
 	if n.role != Leader {
+		n.learnContacts(m.FromAddr)
 		return
 	}
 	members := n.log.membership()
@@ -91,6 +149,7 @@
 }
 
 func (n *Node) onJoinReply(m Message) {
+	n.learnContacts(m.Contacts...)
 	if n.hasMembers() {
 		return
 	}
--- a/internal/core/replog/message.go
+++ b/internal/core/replog/message.go
@@ -23,9 +23,11 @@
 	MsgHeartbeatReply
 	// MsgSnapshot replaces the receiver's log.
 	MsgSnapshot
-	// MsgJoin is sent by a node that belongs to no cluster.
+	// MsgJoin is sent by a node without a leader to all nodes that it knows. The leader
+	// admits the sender if it is no member.
 	MsgJoin
-	// MsgJoinReply reports whether the sender belongs to a cluster.
+	// MsgJoinReply reports whether the sender belongs to a cluster, and the addresses
+	// that it knows.
 	MsgJoinReply
 	// MsgTransferLeadership asks a follower to start an election in order to
 	// replace the leader.
@@ -65,6 +67,9 @@
 	// Hint is the highest index at which the logs may still agree, in a rejected
 	// append.
 	Hint uint64 `msgpack:"h,omitempty"`
+	// Contacts are the addresses of other nodes that the sender knows, in a
+	// MsgJoinReply.
+	Contacts []string `msgpack:"pa,omitempty"`
 }
 
 // fromLeader reports whether only the leader of the term sends this kind of
--- a/internal/core/replog/node.go
+++ b/internal/core/replog/node.go
@@ -138,16 +138,14 @@
 	if now.After(n.now) {
 		n.now = now
 	}
-	switch n.role {
-	case Leader:
+	if n.role == Leader {
 		n.tickLeader()
-	case Learner:
-		n.tickLearner()
-	default:
-		if !n.now.Before(n.electionDeadline) {
-			n.raise(evElectionTimeout)
-		}
+		return
 	}
+	if n.role != Learner && !n.now.Before(n.electionDeadline) {
+		n.raise(evElectionTimeout)
+	}
+	n.seekLeader()
 }
 
 // Deadline returns when this node starts an election unless it receives a
@@ -159,6 +157,7 @@
 // Step processes a message from another node.
 func (n *Node) Step(m Message) {
 	if !n.acceptsMessage(m) {
+		n.learnFormerPeer(m)
 		return
 	}
 	switch m.Kind {
@@ -213,12 +212,11 @@
 	if member, ok := n.log.membership().Find(m.From); ok && member.Addr != m.FromAddr {
 		return false
 	}
-	isJoin := m.Kind == MsgJoin || m.Kind == MsgJoinReply
 	if m.To != n.cfg.ID && (m.To != "" || m.Kind != MsgJoin) {
 		return false
 	}
-	if isJoin {
-		return true
+	if m.Kind == MsgJoin || m.Kind == MsgJoinReply {
+		return m.From != "" && m.FromAddr != "" && (m.Cluster == "" || n.hard.Cluster == "" || n.hard.Cluster == m.Cluster)
 	}
 	return m.Cluster != "" && (n.hard.Cluster == "" || n.hard.Cluster == m.Cluster)
 }
--- a/internal/core/replog/reconcile.go
+++ b/internal/core/replog/reconcile.go
@@ -117,18 +117,3 @@
 	wanted -= (wanted + 1) % 2
 	return max(wanted, minVoters)
 }
-
-// recordUnknownCandidate records a join request for a node that sends pre-votes
-// but is not a member: it was removed while it was unavailable and has to join
-// again.
-func (n *Node) recordUnknownCandidate(m Message) {
-	if n.role != Leader || n.cfg.Voters == 0 {
-		return
-	}
-	members := n.log.membership()
-	_, knownID := members.Find(m.From)
-	_, knownAddr := members.FindAddr(m.FromAddr)
-	if !knownID && !knownAddr {
-		n.recordJoinRequest(m)
-	}
-}
--- a/internal/voter/request.go
+++ b/internal/voter/request.go
@@ -218,6 +218,20 @@
 	return err
 }
 
+// setSeeds is a request to contact further addresses while there is no leader.
+type setSeeds []string
+
+func (addrs setSeeds) start(v *Voter) { v.node.SetSeeds(addrs) }
+
+// SetSeeds sets addresses of nodes that this voter contacts, besides those that it knows,
+// while it has no leader. It has no effect after Run has ended.
+func (v *Voter) SetSeeds(addrs []string) {
+	select {
+	case v.requests <- setSeeds(addrs):
+	case <-v.stopped:
+	}
+}
+
 // transferLeadership is a request to the node to transfer the leadership once.
 type transferLeadership struct{}
 
