replog: silence alone doesn't lower the number of voters

Cause: the leader counted the wanted number of voters from the members that answered. With a zone cut off, two of five voters were removed after 3 s: a quorum of three needs two copies of an entry, so two lost disks end it, or lose what it acknowledged. A removed node was forgotten, and one whose contacts had all been replaced meanwhile had no way back. Change: the wanted number counts listed voters and learners that answer. A silent voter is demoted to a learner once there are more voters than wanted, so after another has been promoted, and then after 1 s in place of 3. A silent learner stays a member for 10 minutes, or until a joining node needs its place: heartbeats reach it as soon as it is back. Silent members get no entries until they answer. A member counts for promotion only once it has answered this leader. Of two wiped nodes the second is replaced after the first has been promoted. Instances are given the addresses of members that respond. In tests the constant's new name stands for 1 s where it was 3 s, which makes them stricter.

--- a/internal/core/replog/join.go
+++ b/internal/core/replog/join.go
@@ -122,6 +122,9 @@
 		n.recordJoinRequest(m)
 		return
 	}
+	if n.needsVoters(0) && n.promotionPending() {
+		return // two replacements at once would leave too few voters
+	}
 	// An error needs no reply: the node retries.
 	_, _, _ = n.Replace(Member{ID: m.From, Addr: m.FromAddr})
 }
--- a/internal/core/replog/lead.go
+++ b/internal/core/replog/lead.go
@@ -22,10 +22,14 @@
 	// snapshotSent is when the unacknowledged snapshot was sent; zero if there is
 	// none.
 	snapshotSent time.Time
-	// lastReply is when the member last replied in this term.
+	// lastReply is when the member last replied in this term, or when the leader began to
+	// track it. replied reports whether it has replied.
 	lastReply time.Time
+	replied   bool
 }
 
+func (p *progress) recordReply(now time.Time) { p.lastReply, p.replied = now, true }
+
 func (n *Node) startLeading() {
 	n.leader = n.cfg.ID
 	n.leaderSince = n.now
@@ -128,6 +132,15 @@
 	return p != nil && n.now.Sub(p.lastReply) <= n.cfg.ElectionTimeout
 }
 
+// isResponsive reports whether the member is active and has replied in this term. Unlike
+// isActive it doesn't trust a member that the leader has only begun to track.
+func (n *Node) isResponsive(id string) bool { return n.isActive(id) && n.progress[id].replied }
+
+// unresponsive returns the members that have not replied within the election timeout.
+func (n *Node) unresponsive() []string {
+	return slices.DeleteFunc(n.others(), n.isActive)
+}
+
 // others returns the identities of the other members in sorted order.
 func (n *Node) others() []string {
 	var ids []string
@@ -152,10 +165,11 @@
 }
 
 // sendAppend sends the member its next entries unless a limit on outstanding
-// messages has been reached.
+// messages has been reached. An unresponsive member gets heartbeats only, until it
+// replies to one.
 func (n *Node) sendAppend(id string) {
 	p := n.progress[id]
-	if p.paused || n.snapshotPending(p) || p.next-1-p.match > maxInflightEntries && !p.probing {
+	if !n.isActive(id) || p.paused || n.snapshotPending(p) || p.next-1-p.match > maxInflightEntries && !p.probing {
 		return
 	}
 	if p.next <= n.log.offset {
@@ -196,7 +210,7 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.lastReply = n.now
+	p.recordReply(n.now)
 	if m.Reject {
 		n.onAppendRejected(m, p)
 		return
@@ -234,7 +248,7 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.lastReply = n.now
+	p.recordReply(n.now)
 	p.paused = false
 	if p.match < n.log.last() {
 		if p.next-1-p.match > maxInflightEntries {
--- a/internal/core/replog/members.go
+++ b/internal/core/replog/members.go
@@ -144,6 +144,9 @@
 		if m.Voter || !m.PromoteWhenCaughtUp || !n.caughtUp(m.ID) {
 			continue
 		}
+		if n.cfg.Voters > 0 && !n.needsVoters(0) {
+			continue
+		}
 		if _, _, err := n.Promote(m.ID); err == nil {
 			return
 		}
--- a/internal/core/replog/ready.go
+++ b/internal/core/replog/ready.go
@@ -131,6 +131,9 @@
 	// ActiveVoters is the number of voters, the leader included, that have replied
 	// to the leader lately. It is zero on other nodes.
 	ActiveVoters int
+	// Unresponsive are the identities of the members that have not replied to the leader
+	// lately. It is empty on other nodes.
+	Unresponsive []string
 	// Waiting are nodes that request to join at an address that no member has. An
 	// operator may add them.
 	Waiting Membership
@@ -158,6 +161,7 @@
 		s.LeaderSince = n.leaderSince
 		s.ActiveVoters = n.activeVoters(s.Members.Voters())
 		s.WantedVoters = n.wantedVoters(0)
+		s.Unresponsive = n.unresponsive()
 	}
 	if !n.hasActiveLeader() {
 		s.LeaderlessSince = n.lastLeaderContact
--- a/internal/core/replog/reconcile.go
+++ b/internal/core/replog/reconcile.go
@@ -14,11 +14,14 @@
 	maxMembers = 16
 	// joinRequestTTL is how long a join request stays valid.
 	joinRequestTTL = time.Second
-	// removeVoterAfter is how long a voter may be unresponsive before the leader
-	// removes it, if enough other voters are active. removeLearnerAfter is how
-	// long a learner may be unresponsive.
-	removeVoterAfter   = 3 * time.Second
-	removeLearnerAfter = 10 * time.Second
+	// demoteVoterAfter is how long a voter may be unresponsive before the leader
+	// demotes it to a learner, if there are more voters than wanted.
+	demoteVoterAfter = time.Second
+	// evictLearnerAfter is how long a learner may be unresponsive before its place may
+	// go to a joining node, and forgetLearnerAfter before it is removed in any case.
+	// Until then the leader's heartbeats reach it as soon as it returns.
+	evictLearnerAfter  = 10 * time.Second
+	forgetLearnerAfter = 10 * time.Minute
 )
 
 // reconcileMembers maintains the wanted number of active voters. It makes at
@@ -28,24 +31,24 @@
 	if n.cfg.Voters == 0 || n.log.membersIndex() > n.log.commit {
 		return
 	}
-	if n.admitJoining() || n.markLearnerForPromotion() {
+	if n.admitJoining() || n.markLearnerForPromotion() || n.demoteUnresponsive() {
 		return
 	}
-	n.removeUnresponsive()
+	n.removeLearnerSilentFor(forgetLearnerAfter)
 }
 
 // admitJoining adds a node with a pending join request as a learner. The
 // learner is marked for promotion if voters are missing.
 func (n *Node) admitJoining() bool {
-	if len(n.log.membership()) >= maxMembers {
-		return false
-	}
 	for _, addr := range slices.Sorted(maps.Keys(n.joinRequests)) {
 		request := n.joinRequests[addr]
 		if n.now.Sub(request.at) > joinRequestTTL {
 			delete(n.joinRequests, addr)
 			continue
 		}
+		if len(n.log.membership()) >= maxMembers {
+			return n.removeLearnerSilentFor(evictLearnerAfter)
+		}
 		member := Member{ID: request.id, Addr: addr, PromoteWhenCaughtUp: n.needsVoters(1)}
 		if _, _, err := n.AddLearner(member); err == nil {
 			delete(n.joinRequests, addr)
@@ -58,15 +61,12 @@
 // markLearnerForPromotion marks an active learner for promotion if voters are
 // missing.
 func (n *Node) markLearnerForPromotion() bool {
+	if n.promotionPending() || !n.needsVoters(0) {
+		return false
+	}
 	members := n.log.membership()
 	for _, m := range members {
-		if m.Voter || !n.isActive(m.ID) {
-			continue
-		}
-		if m.PromoteWhenCaughtUp {
-			return false
-		}
-		if !n.needsVoters(0) {
+		if m.Voter || !n.isResponsive(m.ID) {
 			continue
 		}
 		m.PromoteWhenCaughtUp = true
@@ -76,25 +76,53 @@
 	return false
 }
 
-// removeUnresponsive removes a member that has been unresponsive for too long.
-// It removes a voter only while enough other voters are active.
-func (n *Node) removeUnresponsive() {
+// promotionPending reports whether an active learner is marked for promotion.
+func (n *Node) promotionPending() bool {
+	return slices.ContainsFunc(n.log.membership(), func(m Member) bool {
+		return !m.Voter && m.PromoteWhenCaughtUp && n.isActive(m.ID)
+	})
+}
+
+// demoteUnresponsive demotes the voter that has been unresponsive for longest to a
+// learner, once others have taken its place. The number of voters never falls below the
+// wanted one on silence alone: a quorum of fewer voters could lose with its disks what it
+// has committed.
+func (n *Node) demoteUnresponsive() bool {
+	members := n.log.membership()
+	if len(members.Voters()) <= n.wantedVoters(0) {
+		return false
+	}
+	m, silence := n.longestSilent(true)
+	if silence <= demoteVoterAfter {
+		return false
+	}
+	m.Voter = false
+	_, _, err := n.changeMembers(ChangeUnresponsive, m, members.With(m))
+	return err == nil
+}
+
+// removeLearnerSilentFor removes the learner that has been unresponsive for longest, if
+// for more than the limit.
+func (n *Node) removeLearnerSilentFor(limit time.Duration) bool {
+	m, silence := n.longestSilent(false)
+	if silence <= limit {
+		return false
+	}
+	_, _, err := n.remove(m.ID, ChangeUnresponsive)
+	return err == nil
+}
+
+// longestSilent returns the voter or learner that has not replied for the longest time.
+func (n *Node) longestSilent(voter bool) (longest Member, silence time.Duration) {
 	for _, m := range n.log.membership() {
-		if m.ID == n.cfg.ID {
-			continue
-		}
-		silence := n.now.Sub(n.progress[m.ID].lastReply)
-		isDue := silence > removeLearnerAfter
-		if m.Voter {
-			isDue = silence > removeVoterAfter && !n.needsVoters(0)
-		}
-		if !isDue {
+		if m.ID == n.cfg.ID || m.Voter != voter {
 			continue
 		}
-		if _, _, err := n.remove(m.ID, ChangeUnresponsive); err == nil {
-			return
+		if s := n.now.Sub(n.progress[m.ID].lastReply); s > silence {
+			longest, silence = m, s
 		}
 	}
+	return longest, silence
 }
 
 // needsVoters reports whether there are fewer active voters than wanted,
@@ -104,16 +132,17 @@
 }
 
 // wantedVoters returns the number of voters that the leader maintains, assuming that
-// joining further members become active. It is odd: an even number tolerates no more
-// failures than the odd number below it.
+// joining further members become active. It counts the voters and the learners that could
+// become voters, and so not an unresponsive learner. It is odd: an even number tolerates
+// no more failures than the odd number below it.
 func (n *Node) wantedVoters(joining int) int {
-	active := joining
+	candidates := joining
 	for _, m := range n.log.membership() {
-		if m.ID == n.cfg.ID || n.isActive(m.ID) {
-			active++
+		if m.Voter || n.isResponsive(m.ID) {
+			candidates++
 		}
 	}
-	wanted := min(n.cfg.Voters, active)
+	wanted := min(n.cfg.Voters, candidates)
 	wanted -= (wanted + 1) % 2
 	return max(wanted, minVoters)
 }
--- a/internal/core/replog/reconcile_test.go
+++ b/internal/core/replog/reconcile_test.go
@@ -51,7 +51,7 @@
 	s.start("d", s.addrs)
 	s.run(2 * time.Second)
 	require.Contains(t, s.voterAddrs(), "d")
-	s.run(removeVoterAfter + time.Second)
+	s.run(demoteVoterAfter + time.Second)
 	require.NotContains(t, s.voterAddrs(), failed)
 	require.Len(t, s.voterAddrs(), 3)
 	// The new voter counts towards the quorum: the cluster survives another loss.
@@ -70,10 +70,10 @@
 	require.Equal(t, 1, s.mustLeader().Status().FurtherLosses())
 	out := s.nonLeaderAddr()
 	s.crash(out)
-	s.run(removeVoterAfter + time.Second)
+	s.run(demoteVoterAfter + time.Second)
 	require.Equal(t, 0, s.mustLeader().Status().FurtherLosses(), "a voter is out and nothing replaces it")
 	s.start("d", s.addrs)
-	s.run(removeVoterAfter + 2*time.Second)
+	s.run(demoteVoterAfter + 2*time.Second)
 	require.Equal(t, 1, s.mustLeader().Status().FurtherLosses())
 	for _, n := range s.nodes {
 		if n != s.mustLeader() {
@@ -88,7 +88,7 @@
 	removed := s.nonLeaderAddr()
 	s.crash(removed)
 	s.start("d", s.addrs)
-	s.run(2*time.Second + removeVoterAfter)
+	s.run(2*time.Second + demoteVoterAfter)
 	require.NotContains(t, s.voterAddrs(), removed)
 	s.propose(s.mustLeader(), "x")
 	s.start(removed, s.addrs)
@@ -137,7 +137,7 @@
 		fresh := fmt.Sprint("n", i)
 		s.start(fresh, s.addrs)
 		s.addrs = append(s.addrs, fresh)
-		s.run(3*time.Second + removeVoterAfter)
+		s.run(3*time.Second + demoteVoterAfter)
 		require.NotContains(t, s.voterAddrs(), failed)
 	}
 	s.requireState(want...)
--- a/internal/core/replog/rejoin_test.go
+++ b/internal/core/replog/rejoin_test.go
@@ -128,7 +128,7 @@
 		s.start(addr+"2", s.voterAddrs())
 		s.run(3 * time.Second)
 		s.crash(addr)
-		s.run(2*time.Second + removeVoterAfter)
+		s.run(2*time.Second + demoteVoterAfter)
 	}
 	s.heal()
 	s.run(catchUp)
