--- a/internal/core/replog/lead.go
+++ b/internal/core/replog/lead.go
@@ -42,6 +42,7 @@
 
 func (n *Node) stopLeading() {
 	n.leader = ""
+	n.lastLeaderContact = n.now
 	n.progress = nil
 	n.refuseConfirms()
 }
--- a/internal/core/replog/managed_test.go
+++ b/internal/core/replog/managed_test.go
@@ -137,6 +137,24 @@
 	m.wait(t, catchUp)
 }
 
+// doCutAndWipe loses disks while a zone is cut off.
+func (m *managed) doCutAndWipe(t *rapid.T) {
+	zone := m.zones[rapid.SampledFrom(m.addrs).Draw(t, "zone")]
+	m.cut(slices.DeleteFunc(slices.Clone(m.addrs), func(addr string) bool { return m.zones[addr] != zone })...)
+	m.wait(t, m.drawDuration(t))
+	others := slices.DeleteFunc(slices.Clone(m.addrs), func(addr string) bool { return m.zones[addr] == zone })
+	lost := rapid.Permutation(others).Draw(t, "wiped")[:managedLosses]
+	for _, addr := range lost {
+		m.loseDisk(addr)
+	}
+	m.wait(t, m.drawDuration(t))
+	m.heal()
+	for _, addr := range lost {
+		m.start(addr, m.drawSeeds(t, addr))
+	}
+	m.wait(t, 2*catchUp)
+}
+
 func (m *managed) crashAll(addrs []string) {
 	for _, addr := range addrs {
 		m.crash(addr)
@@ -175,7 +193,7 @@
 			m := newManaged(t, zones)
 			steps := rapid.IntRange(3, 10).Draw(t, "steps")
 			for range steps {
-				action := rapid.SampledFrom([]func(*rapid.T){m.doCut, m.doCrash, m.doWipe, m.doReplace}).Draw(t, "action")
+				action := rapid.SampledFrom([]func(*rapid.T){m.doCut, m.doCrash, m.doWipe, m.doReplace, m.doCutAndWipe}).Draw(t, "action")
 				action(t)
 				m.checkWhole(t)
 			}
--- a/internal/core/replog/node.go
+++ b/internal/core/replog/node.go
@@ -59,8 +59,8 @@
 	// leader is the known leader of hard.Term. Within a term it changes only from
 	// empty to one identity, and back to empty when a leader steps down.
 	leader string
-	// lastLeaderContact is when the node last received a message from the leader, or
-	// started.
+	// lastLeaderContact is when the node last received a message from the leader,
+	// stopped leading, or started.
 	lastLeaderContact time.Time
 	// leaderSince is when this node became leader.
 	leaderSince time.Time
--- a/internal/core/replog/rejoin_test.go
+++ b/internal/core/replog/rejoin_test.go
@@ -194,3 +194,14 @@
 		s.requireMember(addr)
 	}
 }
+
+func TestFormerLeaderCountsItsTimeWithoutLeaderFromItsResignation(t *testing.T) {
+	s := newGrownCluster(t, "a", "b", "c")
+	s.run(time.Minute)
+	old := s.mustLeader()
+	require.True(t, old.Status().LeaderlessSince.IsZero())
+	s.cut(old.addr)
+	s.run(2 * time.Second)
+	require.NotEqual(t, Leader, old.role)
+	require.WithinDuration(t, s.now, old.Status().LeaderlessSince, 2*time.Second)
+}
