--- a/internal/core/replog/follow.go
+++ b/internal/core/replog/follow.go
@@ -14,6 +14,16 @@
 	return fmt.Sprintf("replog: the log ends at entry %d but entry %d had been acknowledged", e.Last, e.Acknowledged)
 }
 
+// isFromLeader reports whether the sender of a leader's message may lead the current
+// term. A term has one leader, so the message of another sender is malformed, unless it
+// is a voter: then the protocol is broken.
+func (n *Node) isFromLeader(m Message) bool {
+	if n.leader == "" || n.leader == m.From {
+		return true
+	}
+	return n.role == Leader && n.log.membership().isVoter(m.From)
+}
+
 // acceptLeader records the sender of a message as the leader of the current
 // term.
 func (n *Node) acceptLeader(m Message) {
@@ -27,6 +37,10 @@
 }
 
 func (n *Node) onAppend(m Message) {
+	if !n.log.accepts(m.Index, m.Entries) {
+		n.drop(m, "entries that don't fit the log")
+		return
+	}
 	n.acceptLeader(m)
 	if m.Index < n.log.commit {
 		n.reply(m, Message{Kind: MsgAppendReply, Index: n.log.commit})
@@ -48,6 +62,11 @@
 // the last entry that this node has acknowledged, so an index beyond the end of
 // the log means that the disk lost entries.
 func (n *Node) onHeartbeat(m Message) {
+	_, fromMember := n.log.membership().Find(m.From)
+	if m.Commit > n.log.last() && !fromMember {
+		n.drop(m, "commit index beyond the log")
+		return
+	}
 	n.acceptLeader(m)
 	if m.Commit > n.log.last() {
 		n.fault = &DataLossError{Acknowledged: m.Commit, Last: n.log.last()}
@@ -59,11 +78,12 @@
 }
 
 func (n *Node) onSnapshot(m Message) {
-	n.acceptLeader(m)
 	s := m.Snapshot
-	if s == nil {
+	if s == nil || len(s.Members) == 0 {
+		n.drop(m, "no snapshot")
 		return
 	}
+	n.acceptLeader(m)
 	switch {
 	case s.Index <= n.log.commit:
 		n.reply(m, Message{Kind: MsgAppendReply, Index: n.log.commit})
--- a/internal/core/replog/join.go
+++ b/internal/core/replog/join.go
@@ -17,6 +17,8 @@
 	// seekAfterTimeouts is the number of election timeouts without a leader after which
 	// a member sends join requests.
 	seekAfterTimeouts = 2
+	// leaderHintTTL is how long the address of a leader that others have named is valid.
+	leaderHintTTL = time.Second
 )
 
 // joinState holds what a node without a leader knows of others, and the join requests
@@ -27,6 +29,13 @@
 	// seeds are configured addresses besides Config.Peers. contacts are addresses
 	// learned from other nodes since the last contact with a leader, the latest last.
 	seeds, contacts []string
+	// asked is the number of nodes that were sent the latest round of join requests;
+	// answered holds the identities of those that have answered it.
+	asked    int
+	answered map[string]bool
+	// leaderHint is the address of the leader by the latest answer, at leaderHintAt.
+	leaderHint   string
+	leaderHintAt time.Time
 	// uninitialisedPeers maps the address of each peer that has reported no
 	// cluster state to its identity. It covers replies since this node started.
 	uninitialisedPeers map[string]string
@@ -59,7 +68,9 @@
 		return
 	}
 	n.joinDue = n.now.Add(joinIntervalHeartbeats * n.cfg.HeartbeatInterval)
-	for _, addr := range n.knownAddrs() {
+	addrs := n.knownAddrs()
+	n.asked, n.answered = len(addrs), map[string]bool{}
+	for _, addr := range addrs {
 		n.send(Message{Kind: MsgJoin, ToAddr: addr})
 	}
 	n.maybeBootstrap()
@@ -89,7 +100,7 @@
 		return
 	}
 	known := n.knownAddrs()
-	for _, addr := range addrs {
+	for _, addr := range addrs[:min(len(addrs), maxContacts)] {
 		if addr == "" || addr == n.cfg.Addr || slices.Contains(known, addr) || slices.Contains(n.contacts, addr) {
 			continue
 		}
@@ -98,6 +109,24 @@
 	n.contacts = n.contacts[max(0, len(n.contacts)-maxContacts):]
 }
 
+// activeLeaderAddr returns the address of the active leader, empty if there is none.
+func (n *Node) activeLeaderAddr() string {
+	if !n.hasActiveLeader() {
+		return ""
+	}
+	m, _ := n.log.membership().Find(n.leader)
+	return m.Addr
+}
+
+// hintedLeaderAddr returns the address of the leader that others have named lately to a
+// node that is no member.
+func (n *Node) hintedLeaderAddr() string {
+	if n.now.Sub(n.leaderHintAt) > leaderHintTTL {
+		return ""
+	}
+	return n.leaderHint
+}
+
 // learnFormerPeer keeps the address of a node that still sends messages to the identity
 // which this node's address had before its disk was lost.
 func (n *Node) learnFormerPeer(m Message) {
@@ -109,7 +138,10 @@
 // onJoin replies to a node without a leader. If this node leads and the sender is no
 // member, it admits the sender, in place of a member that had its address.
 func (n *Node) onJoin(m Message) {
-	n.reply(m, Message{Kind: MsgJoinReply, Reject: !n.isUninitialised(), Contacts: n.knownAddrs()})
+	n.reply(m, Message{
+		Kind: MsgJoinReply, Reject: !n.isUninitialised(),
+		Contacts: n.knownAddrs(), LeaderAddr: n.activeLeaderAddr(),
+	})
 	if n.role != Leader {
 		n.learnContacts(m.FromAddr)
 		return
@@ -122,7 +154,7 @@
 		n.recordJoinRequest(m)
 		return
 	}
-	if n.needsVoters(0) && n.promotionPending() {
+	if n.needsVoters() && n.promotionPending() {
 		return // two replacements at once would leave too few voters
 	}
 	// An error needs no reply: the node retries.
@@ -133,6 +165,7 @@
 	if n.joinRequests == nil {
 		n.joinRequests = map[string]joinRequest{}
 	}
+	maps.DeleteFunc(n.joinRequests, func(_ string, r joinRequest) bool { return n.now.Sub(r.at) > joinRequestTTL })
 	if _, known := n.joinRequests[m.FromAddr]; known || len(n.joinRequests) < maxJoinRequests {
 		n.joinRequests[m.FromAddr] = joinRequest{m.From, n.now}
 	}
@@ -153,6 +186,12 @@
 
 func (n *Node) onJoinReply(m Message) {
 	n.learnContacts(m.Contacts...)
+	if m.LeaderAddr != "" {
+		n.leaderHint, n.leaderHintAt = m.LeaderAddr, n.now
+	}
+	if n.answered != nil && len(n.answered) < maxContacts {
+		n.answered[m.From] = true
+	}
 	if n.hasMembers() {
 		return
 	}
--- a/internal/core/replog/lead.go
+++ b/internal/core/replog/lead.go
@@ -26,6 +26,17 @@
 	// track it. replied reports whether it has replied.
 	lastReply time.Time
 	replied   bool
+	// markedSince is when the leader first saw the mark for promotion of a learner.
+	markedSince time.Time
+}
+
+func (p *progress) trackMark(marked bool, now time.Time) {
+	switch {
+	case !marked:
+		p.markedSince = time.Time{}
+	case p.markedSince.IsZero():
+		p.markedSince = now
+	}
 }
 
 func (p *progress) recordReply(now time.Time) { p.lastReply, p.replied = now, true }
@@ -57,9 +68,15 @@
 		}
 	}
 	for _, m := range members {
-		if m.ID != n.cfg.ID && n.progress[m.ID] == nil {
-			n.progress[m.ID] = &progress{next: n.log.last() + 1, probing: true, lastReply: n.now}
+		if m.ID == n.cfg.ID {
+			continue
+		}
+		p := n.progress[m.ID]
+		if p == nil {
+			p = &progress{next: n.log.last() + 1, probing: true, lastReply: n.now}
+			n.progress[m.ID] = p
 		}
+		p.trackMark(m.PromoteWhenCaughtUp, n.now)
 	}
 }
 
--- a/internal/core/replog/log.go
+++ b/internal/core/replog/log.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// accepts reports whether entries that follow the index are in sequence and contradict no
+// committed entry.
+func (l *raftLog) accepts(after uint64, entries []Entry) bool {
+	for i, e := range entries {
+		if e.Index != after+uint64(i)+1 {
+			return false
+		}
+		if e.Index > l.offset && e.Index <= l.commit && !l.matches(e.Index, e.Term) {
+			return false
+		}
+	}
+	return true
+}
+
 // merge appends the leader's entries that the log does not hold yet. It
 // truncates the log from the first entry whose term differs.
 func (l *raftLog) merge(entries []Entry) {
--- a/internal/core/replog/members.go
+++ b/internal/core/replog/members.go
@@ -25,9 +25,11 @@
 	ChangeAdded        ChangeReason = "added"
 	ChangeMarked       ChangeReason = "marked for promotion"
 	ChangePromoted     ChangeReason = "promoted"
+	ChangeUnmarked     ChangeReason = "unmarked for promotion"
+	ChangeDemoted      ChangeReason = "demoted"
 	ChangeReplaced     ChangeReason = "disk lost"
 	ChangeRemoved      ChangeReason = "removed"
-	ChangeUnresponsive ChangeReason = "unresponsive"
+	ChangeUnresponsive ChangeReason = "removed as unresponsive"
 )
 
 // MemberChange describes a membership change that a leader has appended.
@@ -126,7 +128,7 @@
 	voters := members.Voters()
 	n.changes = append(n.changes, MemberChange{
 		Reason: reason, Member: m, Index: index,
-		Voters: len(voters), Active: n.activeVoters(voters), Wanted: n.wantedVoters(0),
+		Voters: len(voters), Active: n.activeVoters(voters), Wanted: n.wantedVoters(),
 	})
 	return index, n.hard.Term, nil
 }
@@ -144,7 +146,7 @@
 		if m.Voter || !m.PromoteWhenCaughtUp || !n.caughtUp(m.ID) {
 			continue
 		}
-		if n.cfg.Voters > 0 && !n.needsVoters(0) {
+		if n.cfg.Voters > 0 && !n.needsVoters() {
 			continue
 		}
 		if _, _, err := n.Promote(m.ID); err == nil {
--- a/internal/core/replog/message.go
+++ b/internal/core/replog/message.go
@@ -70,6 +70,15 @@
 	// Contacts are the addresses of other nodes that the sender knows, in a
 	// MsgJoinReply.
 	Contacts []string `msgpack:"pa,omitempty"`
+	// LeaderAddr is the address of the leader as the sender knows it, in a MsgJoinReply.
+	LeaderAddr string `msgpack:"la,omitempty"`
+}
+
+// DroppedMessage describes a malformed message that a node has ignored.
+type DroppedMessage struct {
+	From, FromAddr string
+	Kind           MessageKind
+	Reason         string
 }
 
 // fromLeader reports whether only the leader of the term sends this kind of
--- a/internal/core/replog/node.go
+++ b/internal/core/replog/node.go
@@ -92,6 +92,8 @@
 	received *Snapshot
 	// changes are the membership changes that this leader has appended.
 	changes []MemberChange
+	// dropped are malformed messages that had no effect.
+	dropped []DroppedMessage
 	fault   error
 }
 
@@ -174,9 +176,23 @@
 	if !n.checkTerm(m) {
 		return
 	}
+	if m.Kind.fromLeader() && !n.isFromLeader(m) {
+		n.drop(m, "another node leads this term")
+		return
+	}
 	n.dispatch(m)
 }
 
+// maxDropped limits the dropped messages that one Ready reports.
+const maxDropped = 16
+
+// drop reports a malformed message, which has no effect.
+func (n *Node) drop(m Message, reason string) {
+	if len(n.dropped) < maxDropped {
+		n.dropped = append(n.dropped, DroppedMessage{From: m.From, FromAddr: m.FromAddr, Kind: m.Kind, Reason: reason})
+	}
+}
+
 func (n *Node) dispatch(m Message) {
 	switch m.Kind {
 	case MsgPreVote:
--- a/internal/core/replog/ready.go
+++ b/internal/core/replog/ready.go
@@ -37,6 +37,8 @@
 	Refused []uint64
 	// Changes are the membership changes that this node has appended as the leader.
 	Changes []MemberChange
+	// Dropped are malformed messages that had no effect.
+	Dropped []DroppedMessage
 	// Fault is set if this node must stop because its disk lost entries that it
 	// had acknowledged.
 	Fault error
@@ -50,7 +52,7 @@
 // HasReady reports whether Ready would return any work.
 func (n *Node) HasReady() bool {
 	return n.fault != nil || n.received != nil || n.unsent || n.hard != n.synced ||
-		len(n.early)+len(n.messages)+len(n.confirmed)+len(n.refused) > 0 ||
+		len(n.early)+len(n.messages)+len(n.confirmed)+len(n.refused)+len(n.dropped) > 0 ||
 		n.log.stable < n.log.last() || n.log.applied < min(n.log.commit, n.log.stable)
 }
 
@@ -72,10 +74,12 @@
 		Confirmed:   n.confirmed,
 		Refused:     n.refused,
 		Changes:     n.changes,
+		Dropped:     n.dropped,
 		Fault:       n.fault,
 	}
 	n.early, n.messages, n.received = nil, nil, nil
 	n.confirmed, n.refused, n.changes = nil, nil, nil
+	n.dropped = nil
 	return rd
 }
 
@@ -115,6 +119,8 @@
 
 // Status describes the state of a node.
 type Status struct {
+	// LeaderAddr is known without Leader where others have named it to a node that is no
+	// member.
 	ID, Leader, LeaderAddr, Cluster string
 	Role                            Role
 	Term                            uint64
@@ -125,6 +131,9 @@
 	// LeaderlessSince is when a node without an active leader last received a message
 	// from one, or started. It is zero while a leader is active.
 	LeaderlessSince time.Time
+	// Search tells what a node without a leader has asked and who has answered. It is
+	// zero while a leader is active.
+	Search Search
 	// WantedVoters is the number of voters that the leader maintains. It is zero on
 	// other nodes.
 	WantedVoters int
@@ -157,14 +166,41 @@
 	if m, ok := s.Members.Find(n.leader); ok {
 		s.LeaderAddr = m.Addr
 	}
+	if s.LeaderAddr == "" && s.MemberKind() == NoMember {
+		s.LeaderAddr = n.hintedLeaderAddr()
+	}
 	if n.role == Leader {
 		s.LeaderSince = n.leaderSince
 		s.ActiveVoters = n.activeVoters(s.Members.Voters())
-		s.WantedVoters = n.wantedVoters(0)
+		s.WantedVoters = n.wantedVoters()
 		s.Unresponsive = n.unresponsive()
 	}
 	if !n.hasActiveLeader() {
 		s.LeaderlessSince = n.lastLeaderContact
+		s.Search = n.search()
+	}
+	return s
+}
+
+// Search counts the answers that a node without a leader has received.
+type Search struct {
+	// Asked is the number of nodes that were last asked for the members, and Answered how
+	// many have answered since.
+	Asked, Answered int
+	// Granted and Refused count the answers in the current election.
+	Granted, Refused int
+}
+
+func (n *Node) search() Search {
+	s := Search{Asked: n.asked, Answered: len(n.answered)}
+	for id, granted := range n.votes {
+		switch {
+		case id == n.cfg.ID:
+		case granted:
+			s.Granted++
+		default:
+			s.Refused++
+		}
 	}
 	return s
 }
--- a/internal/voter/logging.go
+++ b/internal/voter/logging.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// logDropped logs malformed messages.
+func (v *Voter) logDropped(dropped []replog.DroppedMessage) {
+	for _, d := range dropped {
+		klog.InfoS("voter: malformed message dropped", "voter", v.opts.Store.Identity(), "from", d.From, "address", d.FromAddr,
+			"kind", int(d.Kind), "reason", d.Reason)
+	}
+}
+
 // leaderlessLogAfter is the time without a leader after which it is logged, and
 // leaderlessLogInterval the time between two such lines.
 const (
@@ -70,5 +78,6 @@
 	}
 	l.logged, l.next = true, now.Add(leaderlessLogInterval)
 	klog.InfoS("voter: no leader", "voter", s.ID, "member", string(s.MemberKind()), "role", string(s.Role), "term", s.Term,
-		"leaderless_ms", now.Sub(l.since).Milliseconds(), "members", s.Members.String())
+		"leaderless_ms", now.Sub(l.since).Milliseconds(), "last", s.Last, "asked", s.Search.Asked, "answered", s.Search.Answered,
+		"votes_granted", s.Search.Granted, "votes_refused", s.Search.Refused, "members", s.Members.String())
 }
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -172,6 +172,7 @@
 		}
 		v.node.Advance(rd)
 		v.logMemberChanges(rd.Changes)
+		v.logDropped(rd.Dropped)
 		if err := v.maybeSnapshot(); err != nil {
 			return err
 		}
