agent: an instance without a leader asks its seeds and former voters too

An entry instance whose known voters have all been replaced stays without control: it gets no lease again. Cause: the list of voters starts as the seeds and each renewal replaces it whole. While the leader was unknown, the instance asked that list and the last redirect alone; a voter that knew no leader named nobody. A voter without a leader, member or not, names the nodes that it knows in its answer to a registration or renewal. A known leader alone is asked, as before. Result: the new tests and all tests of internal/agent pass (3 times with the race detector), as do those of internal/core/replog and internal/voter.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,7 +37,7 @@
 type Options struct {
 	// Self identifies this incarnation of the entry instance.
 	Self ctlstate.Member
-	// Voters are the peer addresses of the control voters.
+	// Voters are the configured peer addresses of control voters; see Agent.SetSeeds.
 	Voters []string
 	Client *peer.Client
 	Server *peer.Server
@@ -111,8 +111,10 @@
 	controlState             *ctlstate.Replica
 	registry                 *membership.Registry
 	tracker                  *upstreamTracker
-	voters                   []string
-	config                   ConfigSink
+	// voters are the control voters by the last renewal, at first the seeds. seeds and
+	// contacts are asked too while the leader is unknown; see SetSeeds and learnContacts.
+	voters, seeds, contacts []string
+	config                  ConfigSink
 	// contracts is the default for config.
 	contracts *contracts
 	changed   chan struct{}
@@ -168,6 +170,7 @@
 		registry:       membership.NewRegistry(timing.AnnouncementTTL),
 		tracker:        newUpstreamTracker(),
 		voters:         opts.Voters,
+		seeds:          opts.Voters,
 		contracts:      &contracts{revision.NewApplier()},
 		changed:        make(chan struct{}),
 		wake:           make(chan struct{}, 1),
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -134,24 +134,30 @@
 	return rep, nil
 }
 
-// callDirectly calls the leader, or all voters if the leader is unknown.
+// callDirectly calls the leader, or all candidates if the leader is unknown, and then those
+// to which their answers redirect.
 func callDirectly[Rep response](ctx context.Context, a *Agent, kind string, request any) (Rep, error) {
-	addrs := a.leaderCandidates()
-	replies := make(chan reply[Rep], len(addrs))
-	for _, addr := range addrs {
-		go func() {
-			rep, err := peer.Call[Rep](ctx, a.opts.Client, addr, kind, request)
-			replies <- reply[Rep]{addr, rep, err}
-		}()
+	asked := a.leaderCandidates()
+	limit := len(asked) + maxRedirects
+	replies := make(chan reply[Rep], limit)
+	ask := func(addr string) {
+		rep, err := peer.Call[Rep](ctx, a.opts.Client, addr, kind, request)
+		replies <- reply[Rep]{addr, rep, err}
+	}
+	for _, addr := range asked {
+		go ask(addr)
 	}
 	last := reply[Rep]{err: fmt.Errorf("no known voters")}
-	for range addrs {
+	for answered := 0; answered < len(asked); answered++ {
 		last = <-replies
 		if last.err == nil && last.rep.Head().Status != ctlwire.NotLeader {
 			a.setLeader(last.addr)
 			return last.rep, nil
 		}
-		a.noteNotLeader(last)
+		if addr := a.noteNotLeader(last); addr != "" && len(asked) < limit && !slices.Contains(asked, addr) {
+			asked = append(asked, addr)
+			go ask(addr)
+		}
 	}
 	if last.err == nil {
 		last.err = fmt.Errorf("no leader found")
@@ -166,49 +172,15 @@
 	err  error
 }
 
-// leaderInfo is the part of a reply that identifies the leader.
+// leaderInfo is the part of a reply that leads to the leader.
 type leaderInfo interface {
-	source() (addr, leader string)
+	source() (addr, leader string, contacts []string)
 }
 
-func (r reply[Rep]) source() (addr, leader string) {
+func (r reply[Rep]) source() (addr, leader string, contacts []string) {
 	if r.err != nil {
-		return r.addr, ""
-	}
-	return r.addr, r.rep.Head().LeaderAddr
-}
-
-// leaderCandidates returns the leader's address, or all addresses of voters that may
-// be the leader.
-func (a *Agent) leaderCandidates() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.leader != "" {
-		return []string{a.leader}
-	}
-	addrs := slices.Clone(a.voters)
-	if a.leaderHint != "" && !slices.Contains(addrs, a.leaderHint) {
-		addrs = append(addrs, a.leaderHint)
-	}
-	return addrs
-}
-
-func (a *Agent) setLeader(addr string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.leader = addr
-}
-
-// noteNotLeader clears the leader unless another one has been found, and keeps a
-// redirect from a voter for the next request.
-func (a *Agent) noteNotLeader(o leaderInfo) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	addr, leader := o.source()
-	if a.leader == addr {
-		a.leader = ""
-	}
-	if leader != "" {
-		a.leaderHint = leader
+		return r.addr, "", nil
 	}
+	head := r.rep.Head()
+	return r.addr, head.LeaderAddr, head.Contacts
 }
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -244,7 +244,7 @@
 	}
 	a.share = renewed.Share
 	if len(renewed.Voters) > 0 {
-		a.voters = renewed.Voters
+		a.setVoters(renewed.Voters)
 	}
 	if updated || len(renewed.Config) > 0 {
 		a.notify()
--- a/internal/control/announce_test.go
+++ b/internal/control/announce_test.go
@@ -156,3 +156,24 @@
 	outcome, _ = c.Announce(t.Context(), announcement("a", "10.0.0.1:1", 3))
 	require.Equal(t, membership.RefusedAddress, outcome, "late")
 }
+
+// Guards against instances that can't leave a voter which knows no leader: it names the
+// voters that it knows.
+func TestVoterWithoutALeaderNamesItsContacts(t *testing.T) {
+	client, server := peer.NewClient(peer.Options{}), peer.NewServer(peer.Options{})
+	t.Cleanup(client.Close)
+	control.New(control.Options{
+		Self: "127.0.0.1:1", Log: followerLog{}, State: ctlstate.NewMachine(nil), Client: client, Server: server,
+		Databases: dbcontrol.New(dbcontrol.Options{}), Contacts: func() []string { return []string{"127.0.0.1:2"} },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	registered, err := peer.Call[ctlwire.Answer](t.Context(), client, ln.Addr().String(), ctlwire.KindRegister, ctlwire.Register{})
+	require.NoError(t, err)
+	require.Equal(t, ctlwire.Answer{Status: ctlwire.NotLeader, Contacts: []string{"127.0.0.1:2"}}, registered)
+	renewed, err := peer.Call[ctlwire.Renewed](t.Context(), client, ln.Addr().String(), ctlwire.KindRenew, ctlwire.Renew{})
+	require.NoError(t, err)
+	require.Equal(t, registered, renewed.Answer)
+}
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -42,7 +42,10 @@
 	// Voters returns the peer addresses of the voters, which the leader sends
 	// to the members; nil sends none.
 	Voters func() []string
-	Timing Timing
+	// Contacts returns the peer addresses of the voters that this one knows while it has
+	// no leader, for members that look for one; nil names none.
+	Contacts func() []string
+	Timing   Timing
 	// Observe, if not nil, is called with each failover event. It must not
 	// block.
 	Observe func(Event)
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -28,6 +28,15 @@
 	return ctlwire.Answer{Status: ctlwire.NotLeader, LeaderAddr: c.opts.Log.Status().LeaderAddr}
 }
 
+// redirect is notLeader for a member that may have lost all voters that it knew.
+func (c *Controller) redirect() ctlwire.Answer {
+	answer := c.notLeader()
+	if c.opts.Contacts != nil {
+		answer.Contacts = c.opts.Contacts()
+	}
+	return answer
+}
+
 func failed(err error) ctlwire.Answer {
 	return ctlwire.Answer{Status: ctlwire.Failed, Reason: err.Error()}
 }
@@ -37,7 +46,7 @@
 func (c *Controller) onRegister(ctx context.Context, req ctlwire.Register) (ctlwire.Answer, error) {
 	l := c.leadership()
 	if l == nil {
-		return c.notLeader(), nil
+		return c.redirect(), nil
 	}
 	// A restart of all instances makes each send its registration several times.
 	err := l.register(ctx, req.Member)
@@ -58,7 +67,7 @@
 	arrival := clock.Now()
 	l := c.leadership()
 	if l == nil {
-		return ctlwire.Renewed{Answer: c.notLeader()}, nil
+		return ctlwire.Renewed{Answer: c.redirect()}, nil
 	}
 	if err := l.confirm.wait(ctx); err != nil {
 		return ctlwire.Renewed{Answer: failed(err)}, nil
--- a/internal/core/replog/ready.go
+++ b/internal/core/replog/ready.go
@@ -125,6 +125,9 @@
 	// LeaderlessSince is when a node without an active leader last received a message
 	// from one, or started. It is zero while a leader is active.
 	LeaderlessSince time.Time
+	// Contacts are the addresses of all other nodes that a node without an active leader
+	// knows. It is empty while a leader is active.
+	Contacts []string
 	// WantedVoters is the number of voters that the leader maintains. It is zero on
 	// other nodes.
 	WantedVoters int
@@ -164,7 +167,7 @@
 		s.Unresponsive = n.unresponsive()
 	}
 	if !n.hasActiveLeader() {
-		s.LeaderlessSince = n.lastLeaderContact
+		s.LeaderlessSince, s.Contacts = n.lastLeaderContact, n.knownAddrs()
 	}
 	return s
 }
--- a/internal/core/replog/rejoin_test.go
+++ b/internal/core/replog/rejoin_test.go
@@ -194,3 +194,19 @@
 		s.requireMember(addr)
 	}
 }
+
+// Guards against instances that lose their way at a node that is no member: it names the
+// nodes that it knows while it has no leader, and none otherwise.
+func TestNodeWithoutALeaderNamesTheNodesThatItKnows(t *testing.T) {
+	s := newGrownCluster(t, "a", "b", "c", "d", "e")
+	require.Empty(t, s.mustLeader().Status().Contacts)
+	require.Empty(t, s.nodes[s.followers()[0]].Status().Contacts)
+	seed := s.followers()[0]
+	s.start("n", []string{seed})
+	require.Equal(t, []string{seed}, s.nodes["n"].Status().Contacts)
+	s.run(catchUp)
+	require.Empty(t, s.nodes["n"].Status().Contacts, "a member with a leader")
+	s.cut("n")
+	s.run(10 * time.Second)
+	require.Subset(t, s.nodes["n"].Status().Contacts, []string{"a", "b", "c", "d", "e"})
+}
--- a/internal/ctlwire/messages.go
+++ b/internal/ctlwire/messages.go
@@ -52,7 +52,9 @@
 type Answer struct {
 	Status     Status `msgpack:"s"`
 	LeaderAddr string `msgpack:"l,omitempty"`
-	Reason     string `msgpack:"r,omitempty"`
+	// Contacts are the peer addresses of voters that a voter without a leader knows.
+	Contacts []string `msgpack:"c,omitempty"`
+	Reason   string   `msgpack:"r,omitempty"`
 	// Highest is the highest registered incarnation of the instance, set when a
 	// registration is refused.
 	Highest uint64 `msgpack:"h,omitempty"`
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -276,7 +276,8 @@
 		a.Term == b.Term && a.Applied == b.Applied && a.Commit == b.Commit &&
 		a.LeaderSince.Equal(b.LeaderSince) && slices.Equal(a.Members, b.Members) &&
 		a.ActiveVoters == b.ActiveVoters && a.WantedVoters == b.WantedVoters &&
-		a.LeaderlessSince.Equal(b.LeaderlessSince) && slices.Equal(a.Waiting, b.Waiting) && slices.Equal(a.Unresponsive, b.Unresponsive)
+		a.LeaderlessSince.Equal(b.LeaderlessSince) && slices.Equal(a.Waiting, b.Waiting) && slices.Equal(a.Unresponsive, b.Unresponsive) &&
+		slices.Equal(a.Contacts, b.Contacts)
 }
 
 // stop sets the status to that of a voter that does not lead and fails all open
