replog: a node names only a leader from which it receives messages

A learner that is cut off goes on naming its last leader. An order of the operator that it gets is sent to that address and waits for the time-out; instances that look for the leader are redirected there. Cause: Status.LeaderAddr was the address of the latest leader of the term. A learner starts no election, so it never cleared it. Evidence: TestNodeNamesOnlyAnActiveLeader fails before: a learner cut off for 2 s still names the leader. Result: the test passes for a learner and a follower.

--- a/internal/core/replog/ready.go
+++ b/internal/core/replog/ready.go
@@ -115,6 +115,7 @@
 
 // Status describes the state of a node.
 type Status struct {
+	// Leader is the latest leader of the term, and LeaderAddr its address while it is active.
 	ID, Leader, LeaderAddr, Cluster string
 	Role                            Role
 	Term                            uint64
@@ -157,7 +158,7 @@
 		Members:       n.log.membership(),
 		Waiting:       n.joiningMembers(),
 	}
-	if m, ok := s.Members.Find(n.leader); ok {
+	if m, ok := s.Members.Find(n.leader); ok && n.hasActiveLeader() {
 		s.LeaderAddr = m.Addr
 	}
 	if n.role == Leader {
--- a/internal/core/replog/rejoin_test.go
+++ b/internal/core/replog/rejoin_test.go
@@ -210,3 +210,23 @@
 	s.run(10 * time.Second)
 	require.Subset(t, s.nodes["n"].Status().Contacts, []string{"a", "b", "c", "d", "e"})
 }
+
+// Guards against requests that wait at a node for a leader from which it receives nothing.
+func TestNodeNamesOnlyAnActiveLeader(t *testing.T) {
+	s := newGrownCluster(t, "a", "b", "c", "d", "e", "f")
+	learner, follower := s.learners()[0], s.followers()[0]
+	for _, addr := range []string{learner, follower, s.mustLeader().addr} {
+		require.Equal(t, s.mustLeader().addr, s.nodes[addr].Status().LeaderAddr)
+	}
+	s.cut(learner)
+	s.cut(follower)
+	s.run(2 * time.Second)
+	for _, addr := range []string{learner, follower} {
+		require.Empty(t, s.nodes[addr].Status().LeaderAddr)
+	}
+	s.heal()
+	s.run(catchUp)
+	for _, addr := range []string{learner, follower} {
+		require.Equal(t, s.mustLeader().addr, s.nodes[addr].Status().LeaderAddr)
+	}
+}
--- a/internal/voter/log.go
+++ b/internal/voter/log.go
@@ -32,7 +32,7 @@
 	// ID is the voter's own identity; Leader is the last known leader, empty
 	// when there is none.
 	ID, Leader string
-	// LeaderAddr is the peer address of the leader.
+	// LeaderAddr is the peer address of the leader, empty while nothing is received from it.
 	LeaderAddr string
 	// Term is the term of the replicated log. The terms of database groups
 	// are separate.
