--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
+	"github.com/cicadacove/cicadacove/internal/core/replog"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/peer"
@@ -22,21 +25,37 @@
 // Announce records an announcement that an upstream sent to this voter, and
 // forwards it to the other voters and to all members. If the error is nil, the
 // announcement outlives this voter: one that says that the upstream leaves has been
-// received by another process, any other one will be sent to one.
+// received by another process, any other one will be sent to one. A voter that is no
+// member of the cluster refuses all.
 func (c *Controller) Announce(ctx context.Context, a topo.Announcement) (membership.Outcome, error) {
 	outcome := c.receive(a)
 	receivers := c.receivers()
 	switch {
+	case !c.isMember():
+		return outcome, c.notForwarded()
 	case !outcome.Accepted() && outcome != membership.Stale:
 		return outcome, nil
 	case len(receivers) == 0 && c.leadership() == nil:
-		return outcome, ErrNotForwarded
+		return outcome, c.notForwarded()
 	case !a.Leaving || len(receivers) == 0:
 		return outcome, nil
 	}
 	return outcome, c.awaitReceived(ctx, a, receivers)
 }
 
+// isMember reports whether this voter belongs to a cluster, as far as it knows.
+func (c *Controller) isMember() bool { return c.opts.Log.Status().Member != replog.NoMember }
+
+// notForwarded returns ErrNotForwarded with the reason why this voter has no leader, if it
+// has none.
+func (c *Controller) notForwarded() error {
+	status := c.opts.Log.Status()
+	if status.LeaderAddr != "" {
+		return ErrNotForwarded
+	}
+	return fmt.Errorf("%w: %s", ErrNotForwarded, status.DescribeNoLeader(time.Now()))
+}
+
 // receive records an announcement and queues it to be forwarded.
 func (c *Controller) receive(a topo.Announcement) membership.Outcome {
 	if known := c.opts.Upstreams.Known; known != nil && !known(a.Group) {
@@ -90,7 +109,7 @@
 	batch := spread.One(k, clock.Now())
 	c.mu.Unlock()
 	if !known {
-		return ErrNotForwarded
+		return c.notForwarded()
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timing.Call)
 	defer cancel()
@@ -106,12 +125,16 @@
 			return nil
 		}
 	}
-	return ErrNotForwarded
+	return c.notForwarded()
 }
 
-// UpstreamEnded records that an upstream has shut down. It returns false if the
-// upstream has never announced itself to this voter.
-func (c *Controller) UpstreamEnded(id topo.UpstreamID) bool {
+// UpstreamEnded records that an upstream has shut down. known is false if the
+// upstream has never announced itself to this voter. A voter that is no member of the
+// cluster refuses.
+func (c *Controller) UpstreamEnded(id topo.UpstreamID) (known bool, err error) {
+	if !c.isMember() {
+		return false, c.notForwarded()
+	}
 	c.mu.Lock()
 	var last membership.KnownUpstream
 	for _, k := range c.registry.All() {
@@ -121,11 +144,11 @@
 	}
 	c.mu.Unlock()
 	if last.ID == "" {
-		return false
+		return false, nil
 	}
 	last.Leaving, last.Gone = true, true
 	c.receive(last.Announcement)
-	return true
+	return true, nil
 }
 
 // forwardToVoters sends announcements to the other voters without waiting for
--- a/internal/control/announce_test.go
+++ b/internal/control/announce_test.go
@@ -12,6 +12,7 @@
 	"github.com/cicadacove/cicadacove/internal/control"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
+	"github.com/cicadacove/cicadacove/internal/core/replog"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/dbcontrol"
@@ -177,3 +178,35 @@
 	require.NoError(t, err)
 	require.Equal(t, registered, renewed.Answer)
 }
+
+// outsiderLog is the log of a voter that is no member of the cluster.
+type outsiderLog struct{ followerLog }
+
+func (outsiderLog) Status() voter.Status {
+	return voter.Status{ID: "outsider", Member: replog.NoMember}
+}
+
+// Guards against heartbeats that a voter acknowledges, or lets wait for the members of its
+// old log, though it is no member any more.
+func TestVoterThatWasRemovedRefusesAnnouncementsAtOnce(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { silent.Close() })
+	client := peer.NewClient(peer.Options{})
+	t.Cleanup(client.Close)
+	c := control.New(control.Options{
+		Self: "127.0.0.1:1", Log: outsiderLog{}, State: ctlstate.NewMachine(nil), Client: client, Server: peer.NewServer(peer.Options{}),
+		Databases: dbcontrol.New(dbcontrol.Options{}), Voters: func() []string { return []string{silent.Addr().String()} },
+		Timing: control.Timing{Call: time.Minute},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for _, a := range []topo.Announcement{announcement("a", "10.0.0.1:1", 1), leaving(announcement("a", "10.0.0.1:1", 2))} {
+		_, err = c.Announce(ctx, a)
+		require.ErrorIs(t, err, control.ErrNotForwarded)
+		require.ErrorContains(t, err, "no member of the cluster")
+	}
+	_, err = c.UpstreamEnded("a")
+	require.ErrorIs(t, err, control.ErrNotForwarded)
+	require.NoError(t, ctx.Err(), "at once")
+}
