--- a/internal/control/announce_test.go
+++ b/internal/control/announce_test.go
@@ -12,6 +12,7 @@
 	"github.com/cicadacove/cicadacove/internal/control"
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
+	"github.com/cicadacove/cicadacove/internal/core/replog"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlwire"
 	"github.com/cicadacove/cicadacove/internal/dbcontrol"
@@ -156,3 +157,56 @@
 	outcome, _ = c.Announce(t.Context(), announcement("a", "10.0.0.1:1", 3))
 	require.Equal(t, membership.RefusedAddress, outcome, "late")
 }
+
+// Guards against instances that can't leave a voter which knows no leader: it names the
+// voters that it knows.
+func TestVoterWithoutALeaderNamesItsContacts(t *testing.T) {
+	client, server := peer.NewClient(peer.Options{}), peer.NewServer(peer.Options{})
+	t.Cleanup(client.Close)
+	control.New(control.Options{
+		Self: "127.0.0.1:1", Log: followerLog{}, State: ctlstate.NewMachine(nil), Client: client, Server: server,
+		Databases: dbcontrol.New(dbcontrol.Options{}), Contacts: func() []string { return []string{"127.0.0.1:2"} },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	registered, err := peer.Call[ctlwire.Answer](t.Context(), client, ln.Addr().String(), ctlwire.KindRegister, ctlwire.Register{})
+	require.NoError(t, err)
+	require.Equal(t, ctlwire.Answer{Status: ctlwire.NotLeader, Contacts: []string{"127.0.0.1:2"}}, registered)
+	renewed, err := peer.Call[ctlwire.Renewed](t.Context(), client, ln.Addr().String(), ctlwire.KindRenew, ctlwire.Renew{})
+	require.NoError(t, err)
+	require.Equal(t, registered, renewed.Answer)
+}
+
+// outsiderLog is the log of a voter that is no member of the cluster.
+type outsiderLog struct{ followerLog }
+
+func (outsiderLog) Status() voter.Status {
+	return voter.Status{ID: "outsider", Member: replog.NoMember}
+}
+
+// Guards against heartbeats that a voter acknowledges, or lets wait for the members of its
+// old log, though it is no member any more.
+func TestVoterThatWasRemovedRefusesAnnouncementsAtOnce(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { silent.Close() })
+	client := peer.NewClient(peer.Options{})
+	t.Cleanup(client.Close)
+	c := control.New(control.Options{
+		Self: "127.0.0.1:1", Log: outsiderLog{}, State: ctlstate.NewMachine(nil), Client: client, Server: peer.NewServer(peer.Options{}),
+		Databases: dbcontrol.New(dbcontrol.Options{}), Voters: func() []string { return []string{silent.Addr().String()} },
+		Timing: control.Timing{Call: time.Minute},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for _, a := range []topo.Announcement{announcement("a", "10.0.0.1:1", 1), leaving(announcement("a", "10.0.0.1:1", 2))} {
+		_, err = c.Announce(ctx, a)
+		require.ErrorIs(t, err, control.ErrNotForwarded)
+		require.ErrorContains(t, err, "no member of the cluster")
+	}
+	_, err = c.UpstreamEnded("a")
+	require.ErrorIs(t, err, control.ErrNotForwarded)
+	require.NoError(t, ctx.Err(), "at once")
+}
--- a/internal/core/replog/ready.go
+++ b/internal/core/replog/ready.go
@@ -119,8 +119,8 @@
 
 // Status describes the state of a node.
 type Status struct {
-	// LeaderAddr is known without Leader where others have named it to a node that is no
-	// member.
+	// Leader is the latest leader of the term, and LeaderAddr its address while it is
+	// active. A node that is no member knows only the address, which others have named.
 	ID, Leader, LeaderAddr, Cluster string
 	Role                            Role
 	Term                            uint64
@@ -131,9 +131,11 @@
 	// LeaderlessSince is when a node without an active leader last received a message
 	// from one, or started. It is zero while a leader is active.
 	LeaderlessSince time.Time
-	// Search tells what a node without a leader has asked and who has answered. It is
-	// zero while a leader is active.
-	Search Search
+	// Contacts are the addresses of all other nodes that a node without an active leader
+	// knows, and Search tells what it has asked and who has answered. They are empty while
+	// a leader is active.
+	Contacts []string
+	Search   Search
 	// WantedVoters is the number of voters that the leader maintains. It is zero on
 	// other nodes.
 	WantedVoters int
@@ -163,7 +165,7 @@
 		Members:       n.log.membership(),
 		Waiting:       n.joiningMembers(),
 	}
-	if m, ok := s.Members.Find(n.leader); ok {
+	if m, ok := s.Members.Find(n.leader); ok && n.hasActiveLeader() {
 		s.LeaderAddr = m.Addr
 	}
 	if s.LeaderAddr == "" && s.MemberKind() == NoMember {
@@ -176,7 +178,7 @@
 		s.Unresponsive = n.unresponsive()
 	}
 	if !n.hasActiveLeader() {
-		s.LeaderlessSince = n.lastLeaderContact
+		s.LeaderlessSince, s.Contacts = n.lastLeaderContact, n.knownAddrs()
 		s.Search = n.search()
 	}
 	return s
--- a/internal/core/replog/rejoin_test.go
+++ b/internal/core/replog/rejoin_test.go
@@ -205,3 +205,39 @@
 	require.NotEqual(t, Leader, old.role)
 	require.WithinDuration(t, s.now, old.Status().LeaderlessSince, 2*time.Second)
 }
+
+// Guards against instances that lose their way at a node that is no member: it names the
+// nodes that it knows while it has no leader, and none otherwise.
+func TestNodeWithoutALeaderNamesTheNodesThatItKnows(t *testing.T) {
+	s := newGrownCluster(t, "a", "b", "c", "d", "e")
+	require.Empty(t, s.mustLeader().Status().Contacts)
+	require.Empty(t, s.nodes[s.followers()[0]].Status().Contacts)
+	seed := s.followers()[0]
+	s.start("n", []string{seed})
+	require.Equal(t, []string{seed}, s.nodes["n"].Status().Contacts)
+	s.run(catchUp)
+	require.Empty(t, s.nodes["n"].Status().Contacts, "a member with a leader")
+	s.cut("n")
+	s.run(10 * time.Second)
+	require.Subset(t, s.nodes["n"].Status().Contacts, []string{"a", "b", "c", "d", "e"})
+}
+
+// Guards against requests that wait at a node for a leader from which it receives nothing.
+func TestNodeNamesOnlyAnActiveLeader(t *testing.T) {
+	s := newGrownCluster(t, "a", "b", "c", "d", "e", "f")
+	learner, follower := s.learners()[0], s.followers()[0]
+	for _, addr := range []string{learner, follower, s.mustLeader().addr} {
+		require.Equal(t, s.mustLeader().addr, s.nodes[addr].Status().LeaderAddr)
+	}
+	s.cut(learner)
+	s.cut(follower)
+	s.run(2 * time.Second)
+	for _, addr := range []string{learner, follower} {
+		require.Empty(t, s.nodes[addr].Status().LeaderAddr)
+	}
+	s.heal()
+	s.run(catchUp)
+	for _, addr := range []string{learner, follower} {
+		require.Equal(t, s.mustLeader().addr, s.nodes[addr].Status().LeaderAddr)
+	}
+}
