httpdrain: a stop answers the requests of all accepted connections

Cause: net/http's Shutdown closes the listener, which resets the connections in its queue, and drops every request that it reads after that. Our check before it looked once for unread bytes on the connections that net/http had named idle. It missed connections in the queue, connections accepted and not yet known to net/http, requests whose bytes were read and not yet counted, requests in parts, and first requests sent after the check.

Evidence: tests that hold back the accept, the accepted connection or the bytes of a read until the listener is stopped, or send late or in parts.

Change: httpdrain owns a connection from the accept to the close. A stop accepts what is in the queue (internal/accept), ends the connections that wait for a further request and waits for the others; net/http is shut down when none is left. The goroutine that reads a connection decides whether it ends, so nothing lies between a read and the decision. TLS is put on top of these connections (ServeTLS), as net/http must see its own type. A failed accept is now logged and tried again, as in the other servers, and doesn't end Serve.

Two tests looked at idleConns and counted checks for unread bytes, which are gone. They now wait until the connection is served, and until the stop has interrupted that connection's read; what they require of the answer is the same.

Unchanged: a request that crosses the close of a kept connection after the notice gets no answer, and a silent new connection uses up the time of the requests.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -222,12 +222,15 @@
 	})
 	n.group.Go("caller server", func(context.Context) error { return n.Entry.Serve(n.opts.Callers) })
 	n.group.Go("entry", n.Entry.Run)
-	adminListener := n.opts.Admin
+	n.group.Go("admin server", func(context.Context) error { return n.serveAdmin() })
+	klog.V(1).Infof("node: %s serves callers on %s", n.opts.ID, n.CallerAddr())
+}
+
+func (n *Node) serveAdmin() error {
 	if cert := n.opts.AdminServer.Certificate; cert != nil {
-		adminListener = tls.NewListener(adminListener, cert.Config())
+		return n.http.ServeTLS(n.opts.Admin, cert.Config())
 	}
-	n.group.Go("admin server", func(context.Context) error { return n.http.Serve(adminListener) })
-	klog.V(1).Infof("node: %s serves callers on %s", n.opts.ID, n.CallerAddr())
+	return n.http.Serve(n.opts.Admin)
 }
 
 // CallerAddr returns the address that callers connect to.
