control: a leader confirms itself before each command to a database

Cause: a leader that was suspended for 7.9 s goes on, when it wakes, with the next step of a failover that another leader has completed meanwhile. The promote call was allowed by the status that its own voter last published, which names it leader until the first message of the new one is handled. Nothing limited the age of that belief. Ruled out: the lease of an instance. The instances held valid leases for the successors, as they should. Change: each command that changes a role (fence, promote, follow) needs a permit: a quorum round that began after the decision to send, with the voter still leader in the same term of the log and the attempt still the one in progress. Results that come back late lead only to entries of the log or to commands with a permit of their own. Remaining: a suspension between that check and the kernel's send of the bytes. A database compares terms and refuses then; POST /promote is checked by nobody where `fencing` is false.

--- a/internal/control/databases.go
+++ b/internal/control/databases.go
@@ -126,7 +126,7 @@
 func (l *leadership) sendFollow(ctx context.Context, record ctlstate.GroupRecord, d ctlstate.Database, command followCommand) {
 	ctx, cancel := context.WithTimeout(ctx, l.c.timing.Call)
 	defer cancel()
-	_, err := l.c.db.Follow(ctx, locationOf(record.ID, d), record.Term, command.primaryAddr)
+	err := l.follow(ctx, record, d, command.primaryAddr)
 	if err != nil {
 		klog.V(1).Infof("control: failed to make %s follow %s: %v", d.ID, record.Primary, err)
 		command = followCommand{}
@@ -137,6 +137,17 @@
 	l.followCommands[databaseKey{record.ID, d.ID}] = command
 }
 
+func (l *leadership) follow(ctx context.Context, record ctlstate.GroupRecord, d ctlstate.Database, primaryAddr string) error {
+	permit, err := l.permit(ctx, record.ID, func(current ctlstate.GroupRecord) bool {
+		return current.Attempt == nil && current.Term == record.Term
+	})
+	if err != nil {
+		return err
+	}
+	_, err = l.c.db.Follow(ctx, permit, locationOf(record.ID, d), record.Term, primaryAddr)
+	return err
+}
+
 // databaseRetryDelay is the delay before a failed follow command, removal or
 // switchover is retried.
 const databaseRetryDelay = 200 * time.Millisecond
--- a/internal/control/driver_commands.go
+++ b/internal/control/driver_commands.go
@@ -126,7 +126,7 @@
 func (run commandRun) tryFence(ctx context.Context, db ctlstate.Database, t topo.Term) (failover.Event, error) {
 	ctx, cancel := context.WithTimeout(ctx, run.leadership.c.timing.Call)
 	defer cancel()
-	status, err := run.leadership.c.db.Fence(ctx, locationOf(run.group, db), t)
+	status, err := run.fenceAt(ctx, locationOf(run.group, db), t)
 	if err == nil {
 		return failover.FenceConfirmed{Attempt: run.attempt, Database: db.ID, Point: status.Point, Leaving: run.leadership.mustLeave(run.group, db.ID)}, nil
 	}
@@ -150,7 +150,7 @@
 	if !ok {
 		return
 	}
-	old, err := run.leadership.c.db.Fence(ctx, primaryOf(run.record), c.Term)
+	old, err := run.fenceAt(ctx, primaryOf(run.record), c.Term)
 	if err == nil {
 		_, err = run.leadership.c.db.Wait(ctx, locationOf(run.group, target), old.Point, run.leadership.c.timing.CatchUp)
 	}
@@ -159,13 +159,21 @@
 	}
 }
 
+func (run commandRun) fenceAt(ctx context.Context, at dbapi.Location, t topo.Term) (dbapi.Status, error) {
+	permit, err := run.permit(ctx, "")
+	if err != nil {
+		return dbapi.Status{}, err
+	}
+	return run.leadership.c.db.Fence(ctx, permit, at, t)
+}
+
 // promote promotes the chosen database. It gives up after Timing.Promote, since
 // the database may have failed.
 func (run commandRun) promote(ctx context.Context, c failover.Promote) {
 	limit, cancel := context.WithTimeout(ctx, run.leadership.c.timing.Promote)
 	defer cancel()
 	for {
-		status, err := run.leadership.c.db.Promote(limit, locationOf(run.group, c.Database), c.Term)
+		status, err := run.tryPromote(limit, c)
 		if err == nil {
 			run.send(ctx, failover.PromoteReply{Attempt: run.attempt, OK: true, Began: status.Began})
 			return
@@ -177,3 +185,20 @@
 		}
 	}
 }
+
+func (run commandRun) tryPromote(ctx context.Context, c failover.Promote) (dbapi.Status, error) {
+	permit, err := run.permit(ctx, c.Database.ID)
+	if err != nil {
+		return dbapi.Status{}, err
+	}
+	return run.leadership.c.db.Promote(ctx, permit, locationOf(run.group, c.Database), c.Term)
+}
+
+// permit returns a permit for a command of the attempt, which must be in progress and,
+// unless chosen is empty, have chosen that database.
+func (run commandRun) permit(ctx context.Context, chosen topo.UpstreamID) (dbapi.Permit, error) {
+	return run.leadership.permit(ctx, run.group, func(record ctlstate.GroupRecord) bool {
+		a := record.Attempt
+		return a != nil && a.Term == run.attempt && (chosen == "" || a.Chosen == chosen)
+	})
+}
--- a/internal/dbapi/dbapi.go
+++ b/internal/dbapi/dbapi.go
@@ -43,17 +43,18 @@
 }
 
 // Client queries the state of databases and changes their roles. All methods are
-// idempotent.
+// idempotent. Those that change a role take the Permit under which they send;
+// Error: ErrPermitExpired when nothing was sent because it had expired.
 type Client interface {
 	Prober
 	// Fence makes the database refuse writes and log of terms below t.
 	// Error: ErrHigherTerm when it is fenced to a higher term.
-	Fence(ctx context.Context, at Location, t topo.Term) (Status, error)
+	Fence(ctx context.Context, p Permit, at Location, t topo.Term) (Status, error)
 	// Promote makes the database the primary of term t and returns once it serves
 	// as such. Error: ErrHigherTerm when it is fenced to a higher term.
-	Promote(ctx context.Context, at Location, t topo.Term) (Status, error)
+	Promote(ctx context.Context, p Permit, at Location, t topo.Term) (Status, error)
 	// Follow makes the database a replica of the primary of term t.
-	Follow(ctx context.Context, at Location, t topo.Term, primaryAddr string) (Status, error)
+	Follow(ctx context.Context, p Permit, at Location, t topo.Term, primaryAddr string) (Status, error)
 	// Wait returns the status as soon as the database's log covers p or limit has
 	// passed.
 	Wait(ctx context.Context, at Location, p topo.Point, limit time.Duration) (Status, error)
--- a/internal/dbcontrol/dbcontrol.go
+++ b/internal/dbcontrol/dbcontrol.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/dbapi"
 )
@@ -78,37 +79,43 @@
 
 // Status queries the state of the database.
 func (c *Client) Status(ctx context.Context, at Location) (Status, error) {
-	return c.run(ctx, target{at.Group, at.Addr}, "SELECT cicadacove_status()")
+	return c.run(ctx, target{at.Group, at.Addr}, always, "SELECT cicadacove_status()")
 }
 
 // Fence makes the database refuse all terms below t.
-func (c *Client) Fence(ctx context.Context, at Location, t topo.Term) (Status, error) {
-	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_fence(%d)", t))
+func (c *Client) Fence(ctx context.Context, p dbapi.Permit, at Location, t topo.Term) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, p.Check, fmt.Sprintf("SELECT cicadacove_fence(%d)", t))
 }
 
 // Promote makes the database the primary of term t.
-func (c *Client) Promote(ctx context.Context, at Location, t topo.Term) (Status, error) {
-	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_promote(%d)", t))
+func (c *Client) Promote(ctx context.Context, p dbapi.Permit, at Location, t topo.Term) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, p.Check, fmt.Sprintf("SELECT cicadacove_promote(%d)", t))
 }
 
 // Follow makes the database a replica of the primary of term t.
-func (c *Client) Follow(ctx context.Context, at Location, t topo.Term, primary string) (Status, error) {
-	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_follow(%d, '%s')", t, primary))
+func (c *Client) Follow(ctx context.Context, p dbapi.Permit, at Location, t topo.Term, primary string) (Status, error) {
+	return c.run(ctx, target{at.Group, at.Addr}, p.Check, fmt.Sprintf("SELECT cicadacove_follow(%d, '%s')", t, primary))
 }
 
 // Wait returns the status once the log of the database covers p, or after limit.
 func (c *Client) Wait(ctx context.Context, at Location, p topo.Point, limit time.Duration) (Status, error) {
-	return c.run(ctx, target{at.Group, at.Addr}, fmt.Sprintf("SELECT cicadacove_wait('%s', %d)", p, limit.Milliseconds()))
+	return c.run(ctx, target{at.Group, at.Addr}, always, fmt.Sprintf("SELECT cicadacove_wait('%s', %d)", p, limit.Milliseconds()))
 }
 
+// check reports, immediately before a statement is sent, whether it may be.
+type check func(now time.Time) error
+
+// always is the check of statements that change nothing.
+func always(time.Time) error { return nil }
+
 // run executes a statement. It tries the idle connections, which may be broken,
 // and then a new one; retries are safe because all control statements are
 // idempotent.
-func (c *Client) run(ctx context.Context, t target, sql string) (Status, error) {
+func (c *Client) run(ctx context.Context, t target, may check, sql string) (Status, error) {
 	for conn := c.takeIdle(t); conn != nil; conn = c.takeIdle(t) {
-		s, err := c.exec(ctx, t, conn, sql)
+		s, err := c.exec(ctx, t, conn, may, sql)
 		var refused *pgconn.PgError
-		if err == nil || ctx.Err() != nil || errors.As(err, &refused) || errors.Is(err, dbapi.ErrHigherTerm) {
+		if err == nil || ctx.Err() != nil || errors.As(err, &refused) || errors.Is(err, dbapi.ErrHigherTerm) || errors.Is(err, dbapi.ErrPermitExpired) {
 			return s, err
 		}
 	}
@@ -116,10 +123,14 @@
 	if err != nil {
 		return Status{}, err
 	}
-	return c.exec(ctx, t, conn, sql)
+	return c.exec(ctx, t, conn, may, sql)
 }
 
-func (c *Client) exec(ctx context.Context, t target, conn *pgconn.PgConn, sql string) (Status, error) {
+func (c *Client) exec(ctx context.Context, t target, conn *pgconn.PgConn, may check, sql string) (Status, error) {
+	if err := may(clock.Now()); err != nil {
+		c.putIdle(t, conn)
+		return Status{}, err
+	}
 	results, err := conn.Exec(ctx, sql).ReadAll()
 	if conn.IsClosed() {
 		return Status{}, fmt.Errorf("dbcontrol: %s: %w", t.addr, err)
