scenario: no other socket can take the port of an instance that is down

An instance listens at its former port after a restart; meanwhile the port is free, and it is of the range of outgoing connections and of listeners of other deployments.

Evidence: a new test binds an outgoing connection to the port of an instance that is down.

Change: cluster.Options has the IP of all listeners (127.0.0.1 as before by default); each deployment of the scenarios has a loopback address of its own, as the separate processes of internal/cli have. No check changes.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -48,8 +48,13 @@
 	DatabasePassword = "cluster database password"
 )
 
+// DefaultIP is the default of Options.IP.
+const DefaultIP = "127.0.0.1"
+
 // Options configures a Cluster.
 type Options struct {
+	// IP is the loopback address of all listeners; the default is DefaultIP.
+	IP        string
 	Profile   Profile
 	Seed      uint64
 	Timing    ctlwire.Timing
@@ -96,6 +101,9 @@
 // Start starts a deployment. It waits until every group has a primary and
 // every instance has a lease and the configuration.
 func Start(ctx context.Context, opts Options) (*Cluster, error) {
+	if opts.IP == "" {
+		opts.IP = DefaultIP
+	}
 	c := &Cluster{Net: faultnet.New(opts.Seed), Profile: opts.Profile, opts: opts}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.setDelays()
@@ -152,19 +160,19 @@
 // had any.
 func (c *Cluster) listen(e *Entry) (l entryListeners, err error) {
 	open := c.Net.Listen(e.Zone, string(e.ID))
-	if l.callers, err = open(addrOrAnyPort(e.callerAddr)); err != nil {
+	if l.callers, err = open(c.addrOrAnyPort(e.callerAddr)); err != nil {
 		return l, err
 	}
-	if l.peers, err = open(addrOrAnyPort(e.peerAddr)); err != nil {
+	if l.peers, err = open(c.addrOrAnyPort(e.peerAddr)); err != nil {
 		return l, err
 	}
-	l.admin, err = open(addrOrAnyPort(e.adminAddr))
+	l.admin, err = open(c.addrOrAnyPort(e.adminAddr))
 	return l, err
 }
 
-func addrOrAnyPort(addr string) string {
+func (c *Cluster) addrOrAnyPort(addr string) string {
 	if addr == "" {
-		return "127.0.0.1:0"
+		return net.JoinHostPort(c.opts.IP, "0")
 	}
 	return addr
 }
@@ -231,7 +239,7 @@
 		}
 	}
 	return standin.Start(c.ctx, standin.Options{
-		ID: id, Group: g, Zone: zone, Role: role, Term: 1, Primary: primary,
+		ID: id, Group: g, Zone: zone, Listen: c.addrOrAnyPort(""), Role: role, Term: 1, Primary: primary,
 		Slots: c.Profile.Slots, Connections: c.Profile.Connections, ConnectDelay: c.Profile.ConnectDelay,
 		ServiceTime: c.Profile.ServiceTime, ReplicationLag: c.Profile.Lag,
 		AnnounceTo: announceTo, User: DatabaseUser, Password: DatabasePassword,
--- a/internal/scenario/deployment_test.go
+++ b/internal/scenario/deployment_test.go
@@ -4,12 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
 
 	"github.com/cicadacove/cicadacove/internal/cluster"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
@@ -39,7 +45,19 @@
 	outcomes map[string][]string // descriptions of the outcomes of each request
 }
 
+// deployments counts the deployments of this process.
+var deployments atomic.Uint32
+
+// deploymentIP returns a loopback address for one deployment. Connections to other
+// addresses, and listeners of other deployments, can't take a port of an instance that is
+// down.
+func deploymentIP() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(100+deployments.Add(1)%100), byte(pid>>8), max(1, byte(pid))).String()
+}
+
 func newDeployment(ctx context.Context, o cluster.Options) (*deployment, error) {
+	o.IP = deploymentIP()
 	c, err := cluster.Start(ctx, o)
 	if err != nil {
 		return nil, err
@@ -385,3 +403,24 @@
 	d.oracle.Finish(all)
 	return nil
 }
+
+// Guards against an outgoing connection that takes the port of an instance that is down.
+func TestInstanceRestartsThoughAConnectionHasItsPort(t *testing.T) {
+	profile, err := cluster.NewProfile("selam")
+	require.NoError(t, err)
+	d, err := newDeployment(t.Context(), cluster.Options{Profile: profile, Seed: 1})
+	require.NoError(t, err)
+	defer d.cluster.Close()
+	e := d.cluster.Entry(2)
+	addr, err := netip.ParseAddrPort(e.Addr())
+	require.NoError(t, err)
+	d.cluster.Kill(e)
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer other.Close()
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(addr.Port())}}
+	conn, err := dialer.Dial("tcp", other.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, d.cluster.Restart(e, true))
+}
