replog: the search for a leader has a file of its own

Cause: join.go and losses_test.go had grown by the search, the contacts and the tests of the review. Change: seek.go, join_test.go and malformed_test.go; code and tests moved, none changed.

--- a/internal/core/replog/losses_test.go
+++ b/internal/core/replog/losses_test.go
@@ -53,37 +53,6 @@
 	require.Equal(t, 5, s.mustLeader().Status().ActiveVoters, "%v", s.mustLeader().Status().Members)
 }
 
-// newUnformed returns nodes whose first start hasn't formed a cluster: the last seed is
-// not up yet.
-func newUnformed(t *testing.T) *sim {
-	s := newSim(t, 7)
-	s.addrs = []string{"a", "b", "c"}
-	for _, addr := range []string{"a", "b", "d", "e"} {
-		s.start(addr, s.addrs)
-	}
-	s.run(300 * time.Millisecond)
-	return s
-}
-
-func TestClusterFormsThoughTheLowestSeedLostItsDisk(t *testing.T) {
-	s := newUnformed(t)
-	s.loseDisk("a")
-	s.start("c", s.addrs)
-	s.run(time.Second)
-	s.joinOnly = true
-	s.start("a", s.addrs)
-	s.run(time.Minute)
-	s.mustLeader()
-}
-
-func TestClusterFormsThoughASeedIsReplaced(t *testing.T) {
-	s := newUnformed(t)
-	s.joinOnly = true
-	s.start("n", s.addrs)
-	s.run(time.Minute)
-	s.mustLeader()
-}
-
 func TestLeaderThatLosesItsQuorumIsNotLeaderlessSinceBeforeItLed(t *testing.T) {
 	s := newGrownCluster(t, "a", "b", "c")
 	s.run(time.Minute)
@@ -96,91 +65,6 @@
 	require.Less(t, s.now.Sub(lead.Status().LeaderlessSince), 5*time.Second)
 }
 
-func TestSeventeenthNodeFindsTheLeader(t *testing.T) {
-	var addrs []string
-	for i := range 17 {
-		addrs = append(addrs, fmt.Sprintf("n%02d", i))
-	}
-	s := newGrownCluster(t, addrs...)
-	s.run(time.Minute)
-	for _, addr := range addrs {
-		require.Equal(t, s.mustLeader().addr, s.nodes[addr].Status().LeaderAddr, "%s has no leader", addr)
-	}
-}
-
-// The places are held by learners that are gone.
-func TestNodeJoinsAfterAnElectionThoughAllPlacesAreTaken(t *testing.T) {
-	addrs := []string{"a", "b", "c", "d", "e", "f"}
-	s := newGrownCluster(t, addrs...)
-	for i := range maxMembers - len(addrs) {
-		addr := fmt.Sprint("x", i)
-		s.start(addr, addrs[:3])
-		s.run(time.Second)
-		s.crash(addr)
-	}
-	s.run(30 * time.Second)
-	require.Len(t, s.mustLeader().Status().Members, maxMembers)
-	s.crash(s.mustLeader().addr)
-	s.run(2 * time.Second)
-	s.start("n", s.followers()[:1])
-	s.run(catchUp)
-	s.requireMember("n")
-}
-
-func TestManyContactsAreReadInTime(t *testing.T) {
-	s := newSim(t, 7, "a", "b", "c")
-	n := s.nodes["a"]
-	m := Message{Kind: MsgJoinReply, From: "z", FromAddr: "z", To: n.cfg.ID, ToAddr: "a", Reject: true}
-	for i := range 50_000 {
-		m.Contacts = append(m.Contacts, fmt.Sprintf("host%d:1", i))
-	}
-	begin := time.Now()
-	n.Step(m)
-	require.Less(t, time.Since(begin), time.Second)
-}
-
-// Each message comes from a node that is no member of the cluster.
-func TestMalformedMessageDoesNotEndTheProcess(t *testing.T) {
-	for name, change := range map[string]func(*Message){
-		"heartbeat of the same term": func(m *Message) { m.Kind = MsgHeartbeat },
-		"join from nobody":           func(m *Message) { m.Kind, m.From, m.FromAddr = MsgJoin, "", "" },
-		"join at the leader's address": func(m *Message) {
-			m.Kind, m.FromAddr = MsgJoin, m.ToAddr
-		},
-		"join reply":                 func(m *Message) { m.Kind, m.Contacts = MsgJoinReply, []string{"", m.ToAddr, "\x00"} },
-		"append reply beyond log":    func(m *Message) { m.Kind, m.Index = MsgAppendReply, 1<<60 },
-		"rejection of a huge index":  func(m *Message) { m.Kind, m.Reject, m.Index, m.Hint = MsgAppendReply, true, 1<<63, 1<<63 },
-		"vote without an identity":   func(m *Message) { m.Kind, m.From = MsgVote, "" },
-		"snapshot without a content": func(m *Message) { m.Kind, m.Term = MsgSnapshot, m.Term+1 },
-		"snapshot without members": func(m *Message) {
-			m.Kind, m.Term, m.Snapshot = MsgSnapshot, m.Term+1, &Snapshot{Index: 1 << 40, Term: 1}
-		},
-		"append with a gap": func(m *Message) {
-			m.Kind, m.Entries = MsgAppend, []Entry{{Index: m.Index + 2, Term: m.Term}}
-		},
-		"append over a committed entry": func(m *Message) {
-			m.Kind, m.Entries = MsgAppend, []Entry{{Index: m.Index, Term: m.Term + 1}}
-		},
-		"heartbeat beyond the log": func(m *Message) {
-			m.Kind, m.Term, m.Commit = MsgHeartbeat, m.Term+1, 1<<60
-		},
-		"append of empty entries": func(m *Message) { m.Kind, m.Entries = MsgAppend, make([]Entry, 3) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := newGrownCluster(t, "a", "b", "c", "d", "e")
-			lead := s.mustLeader()
-			m := Message{From: "z", FromAddr: "z", To: lead.cfg.ID, ToAddr: lead.addr, Cluster: lead.hard.Cluster, Term: lead.hard.Term}
-			m.Index, m.LogTerm = lead.log.last(), lead.log.lastTerm()
-			change(&m)
-			if m.Kind == MsgAppend {
-				m.Term++
-			}
-			require.NotPanics(t, func() { lead.Step(m); s.process(lead, 0); s.run(time.Second) })
-			require.Nil(t, lead.fault)
-		})
-	}
-}
-
 // The member's first address request is delivered again after its disk was lost twice.
 func TestLateJoinRequestOfALostDiskDoesNotKeepOutItsSuccessor(t *testing.T) {
 	s := newGrownCluster(t, "a", "b", "c", "d", "e")
@@ -455,23 +339,6 @@
 	})
 }
 
-// The members are managed by an operator, who has to see the node.
-func TestWaitingNodeIsListedThoughOthersGaveUp(t *testing.T) {
-	s := newCluster(t, "a", "b", "c")
-	s.joinOnly = true
-	for i := range maxJoinRequests {
-		addr := fmt.Sprint("x", i)
-		s.start(addr, s.addrs)
-		s.run(time.Second)
-		s.loseDisk(addr)
-	}
-	s.run(time.Minute)
-	s.start("n", s.addrs)
-	s.run(catchUp)
-	_, ok := s.mustLeader().Status().Waiting.FindAddr("n")
-	require.True(t, ok, "waiting: %v", s.mustLeader().Status().Waiting)
-}
-
 // doFinalBesideDown: one node is down, another is wiped and has caught up, then two disks
 // of others are lost as the rest lose power.
 func (m overlapping) doFinalBesideDown(t *rapid.T) {
--- a/internal/core/replog/node.go
+++ b/internal/core/replog/node.go
@@ -82,6 +82,7 @@
 	// unsent is set when appended entries have not been put in a message yet.
 	unsent bool
 	confirmState
+	seekState
 	joinState
 
 	// early messages may be sent before the sync: they depend only on leader
