engine: organisations with keys, and connections that few instances hold for all

Cause: the callers of organisations were not told apart, and a database's connections were divided among all instances by a fixed share: 94 instances met 73 connections, and with organisations almost each statement would have opened a connection. Change: a key identifies the organisation on each statement (core/catalog, engine/authorize.go), and pools keep connections by organisation (core/pool). Where there is less than one usable connection for each instance, or organisations divide few, instances relay statements to the holders of an upstream (core/relay, engine/relay*.go). peer.NotSentError tells a request that was not sent from one whose answer was lost. With an answer lost between instances taken as not run, the two tests of that fail.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cicadacove/cicadacove/internal/core/pool"
-	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
 // Errors of Acquire. Nothing has been sent to the upstream.
@@ -47,9 +46,11 @@
 	Abort()
 }
 
-// OpenFunc opens a connection that writes under a term; with term 0 it is for
-// reads only.
-type OpenFunc[C Conn] func(ctx context.Context, term topo.Term) (C, error)
+// Key describes what a connection is used for.
+type Key = pool.Key
+
+// OpenFunc opens a connection with a key.
+type OpenFunc[C Conn] func(ctx context.Context, k Key) (C, error)
 
 // Pool holds the connections of this entry instance to one upstream. It performs
 // the actions of core/pool.
@@ -80,12 +81,11 @@
 	}
 }
 
-// Acquire returns a clean connection that writes under term (0: reads only).
-// Errors: the error of the OpenFunc, ErrPoolClosed, ErrExhausted, ErrSlow or the
+// Acquire returns a clean connection with the key. Errors: the error of the OpenFunc, ErrPoolClosed, ErrExhausted, ErrSlow or the
 // context's error; in all of these cases nothing was sent to the upstream.
-func (p *Pool[C]) Acquire(ctx context.Context, term topo.Term) (C, error) {
+func (p *Pool[C]) Acquire(ctx context.Context, k Key) (C, error) {
 	var none C
-	id, got, exhausted, err := p.enqueue(term)
+	id, got, exhausted, err := p.enqueue(k)
 	if err != nil {
 		return none, err
 	}
@@ -105,7 +105,7 @@
 	}
 }
 
-func (p *Pool[C]) enqueue(term topo.Term) (id pool.WaiterID, got chan acquireResult[C], exhausted bool, err error) {
+func (p *Pool[C]) enqueue(k Key) (id pool.WaiterID, got chan acquireResult[C], exhausted bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.core.Closed() {
@@ -114,7 +114,7 @@
 	p.nextID++
 	id, got = pool.WaiterID(p.nextID), make(chan acquireResult[C], 1)
 	p.waiters[id] = got
-	actions, exhausted := p.core.Acquire(id, term)
+	actions, exhausted := p.core.Acquire(id, k)
 	p.perform(actions)
 	return id, got, exhausted, nil
 }
@@ -154,8 +154,8 @@
 func (p *Pool[C]) SetLimit(n int) { p.do(func() []pool.Action { return p.core.SetLimit(n) }) }
 
 // Warm opens connections in advance, so that up to n are idle, within the limit.
-func (p *Pool[C]) Warm(n int, term topo.Term) {
-	p.do(func() []pool.Action { return p.core.Warm(n, term) })
+func (p *Pool[C]) Warm(n int, k Key) {
+	p.do(func() []pool.Action { return p.core.Warm(n, k) })
 }
 
 // Reap closes connections that have been idle for longer than limit.
@@ -204,7 +204,7 @@
 		case pool.Fail:
 			p.deliver(a.Waiter, acquireResult[C]{err: p.lastErr})
 		case pool.Open:
-			go p.openConn(a.Term)
+			go p.openConn(a.Key)
 		case pool.Close:
 			p.conns[a.Conn].Close()
 			delete(p.ids, p.conns[a.Conn])
@@ -228,27 +228,27 @@
 }
 
 // openFailed returns the actions after a failed open. The caller holds p.mu.
-func (p *Pool[C]) openFailed(err error, term topo.Term) []pool.Action {
+func (p *Pool[C]) openFailed(err error, k Key) []pool.Action {
 	var refused TooManyError
 	if errors.As(err, &refused) && refused.TooMany() {
-		return p.core.OpenRefused(term, time.Now())
+		return p.core.OpenRefused(k, time.Now())
 	}
-	return p.core.OpenFailed(term)
+	return p.core.OpenFailed(k)
 }
 
-func (p *Pool[C]) openConn(term topo.Term) {
+func (p *Pool[C]) openConn(k Key) {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
-	c, err := p.open(ctx, term)
+	c, err := p.open(ctx, k)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
 		p.lastErr = err
-		p.perform(p.openFailed(err, term))
+		p.perform(p.openFailed(err, k))
 		return
 	}
 	p.nextID++
 	id := pool.ConnID(p.nextID)
 	p.conns[id], p.ids[c] = c, id
-	p.perform(p.core.Opened(id, term, time.Now()))
+	p.perform(p.core.Opened(id, k, time.Now()))
 }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -38,6 +38,8 @@
 	Service contract.Service
 	// StatementTimeout bounds one statement.
 	StatementTimeout time.Duration
+	// Public means that callers need no key.
+	Public bool
 }
 
 // Group defines how the databases of a group may be used.
@@ -60,12 +62,19 @@
 	Groups map[topo.GroupID]Group
 	// IdleTransaction is the longest pause of a caller inside a transaction.
 	IdleTransaction time.Duration
-	// Limited is the number of routes and groups with a value beyond its limit.
+	// RequiresKeys means that callers need a key of an organisation, except on public
+	// routes.
+	RequiresKeys bool
+	// Limited is the number of routes, groups and organisations with a value beyond its
+	// limit.
 	Limited int
 	// names are the names of the routes' services.
 	names map[string]bool
 	// targets holds the lowest target of the services for each group and rank.
 	targets map[topo.GroupID][contract.Ranks + 1]time.Duration
+	// organisations is keyed by name; byKey holds the name of the organisation of each key.
+	organisations map[string]Organisation
+	byKey         map[KeyDigest]string
 }
 
 // UrgentTarget returns the lowest target among the group's services that are
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -59,6 +59,11 @@
 	CodeRolledBack = "40000"
 	// CodeNoDatabase: callers cannot connect to this database name, not run.
 	CodeNoDatabase = "3D000"
+	// CodeUnauthenticated: the caller's key is unknown or has been withdrawn, not run.
+	CodeUnauthenticated = "28000"
+	// CodeRateLimited: the organisation has reached its rate limit, not run; retry
+	// after the hint.
+	CodeRateLimited = "CC010"
 	// CodeNoStatement: no prepared statement has this name, not run.
 	CodeNoStatement = "26000"
 	// CodeUpstreamFailed: the upstream returned an error of its own.
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -5,7 +5,7 @@
 //
 // The driver performs the actions that each call returns, in order:
 //
-//	for _, a := range p.Acquire(waiter, term) { perform(a) }
+//	for _, a := range p.Acquire(waiter, key) { perform(a) }
 //
 // The package is pure: no I/O, no clock, no goroutines. Time is an argument.
 package pool
@@ -28,6 +28,16 @@
 	WaiterID uint64
 )
 
+// Key describes what a connection is used for. A connection serves only requests with
+// its own key.
+type Key struct {
+	// Term is the term under which the connection writes, zero for reads only.
+	Term topo.Term
+	// Organisation is the organisation that the upstream knows the connection by, empty
+	// if connections are not bound to organisations.
+	Organisation string
+}
+
 // Action is an action for the driver to perform.
 type Action interface{ action() }
 
@@ -37,9 +47,9 @@
 	Conn   ConnID
 }
 
-// Open opens a connection that writes under a term. The driver must then call
-// Opened, OpenFailed or OpenRefused.
-type Open struct{ Term topo.Term }
+// Open opens a connection with a key. The driver must then call Opened, OpenFailed or
+// OpenRefused.
+type Open struct{ Key Key }
 
 // Close closes a connection that no request uses.
 type Close struct{ Conn ConnID }
@@ -70,13 +80,13 @@
 )
 
 type conn struct {
-	term      topo.Term
+	key       Key
 	idleSince time.Time
 }
 
 type waiter struct {
-	id   WaiterID
-	term topo.Term
+	id  WaiterID
+	key Key
 }
 
 // Pool is the state of the connections.
@@ -84,11 +94,14 @@
 	limit int
 	// conns holds the open connections. idle lists the idle ones in the order in
 	// which they became idle, the latest last.
-	conns   map[ConnID]conn
-	idle    []ConnID
-	opening int
-	waiters []waiter
-	closed  bool
+	conns map[ConnID]conn
+	idle  []ConnID
+	// opening is the number of connections being opened, openingFor the same for each
+	// key.
+	opening    int
+	openingFor map[Key]int
+	waiters    []waiter
+	closed     bool
 	// backingOff means that the upstream refused a connection because it has too
 	// many. The pool opens no further one until backoffUntil.
 	backingOff   bool
@@ -96,7 +109,9 @@
 }
 
 // New returns a pool without connections.
-func New(limit int) *Pool { return &Pool{limit: limit, conns: map[ConnID]conn{}} }
+func New(limit int) *Pool {
+	return &Pool{limit: limit, conns: map[ConnID]conn{}, openingFor: map[Key]int{}}
+}
 
 // Stats are the current numbers of connections and waiters.
 type Stats struct{ Limit, Open, Idle, Waiting int }
@@ -109,20 +124,22 @@
 
 func (p *Pool) open() int { return len(p.conns) + p.opening }
 
-// Acquire requests a connection that writes under a term. If the actions contain
-// no Assign for the request, it waits for one. exhausted reports that the pool has
-// reached its limit.
-func (p *Pool) Acquire(id WaiterID, term topo.Term) (actions []Action, exhausted bool) {
-	for len(p.idle) > 0 {
-		latest := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if p.conns[latest].term == term {
+// Acquire requests a connection with a key. If the actions contain no Assign for the
+// request, it waits for one. exhausted reports that the pool has reached its limit.
+func (p *Pool) Acquire(id WaiterID, k Key) (actions []Action, exhausted bool) {
+	for at := len(p.idle) - 1; at >= 0; at-- {
+		latest := p.idle[at]
+		switch idle := p.conns[latest].key; {
+		case idle == k:
+			p.idle = slices.Delete(p.idle, at, at+1)
 			return append(actions, Assign{id, latest}), false
+		case idle.Term != k.Term:
+			// A connection of another term can't be used any more.
+			p.idle = slices.Delete(p.idle, at, at+1)
+			actions = append(actions, p.drop(latest))
 		}
-		// A connection of another term can't be used any more.
-		actions = append(actions, p.drop(latest))
 	}
-	p.waiters = append(p.waiters, waiter{id, term})
+	p.waiters = append(p.waiters, waiter{id, k})
 	actions = append(actions, p.openForWaiters()...)
 	return actions, p.open() >= p.limit
 }
@@ -143,17 +160,17 @@
 }
 
 // Opened adds a connection that Open requested.
-func (p *Pool) Opened(id ConnID, term topo.Term, now time.Time) []Action {
-	p.opening--
-	p.conns[id] = conn{term: term}
+func (p *Pool) Opened(id ConnID, k Key, now time.Time) []Action {
+	p.endOpen(k)
+	p.conns[id] = conn{key: k}
 	return append(p.put(id, now), p.openForWaiters()...)
 }
 
 // OpenFailed records that a connection could not be opened.
-func (p *Pool) OpenFailed(term topo.Term) []Action {
-	p.opening--
+func (p *Pool) OpenFailed(k Key) []Action {
+	p.endOpen(k)
 	var actions []Action
-	at := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.term == term })
+	at := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.key == k })
 	if at >= 0 {
 		actions = append(actions, Fail{p.waiters[at].id})
 		p.waiters = slices.Delete(p.waiters, at, at+1)
@@ -168,13 +185,13 @@
 // OpenRefused records that the upstream refused a connection because it has too
 // many. The waiters keep waiting for existing connections; if there are none, one
 // waiter fails.
-func (p *Pool) OpenRefused(term topo.Term, now time.Time) []Action {
+func (p *Pool) OpenRefused(k Key, now time.Time) []Action {
 	p.backingOff, p.backoffUntil = true, now.Add(openBackoff)
 	if p.open() > 1 {
-		p.opening--
+		p.endOpen(k)
 		return nil
 	}
-	return p.OpenFailed(term)
+	return p.OpenFailed(k)
 }
 
 // DropIdleSince closes the connections that have been idle since before the given
@@ -223,10 +240,10 @@
 
 // Warm opens connections in advance, so that n are idle or being opened, as far
 // as the limit allows.
-func (p *Pool) Warm(n int, term topo.Term) []Action {
+func (p *Pool) Warm(n int, k Key) []Action {
 	var actions []Action
 	for len(p.idle)+p.opening < n && p.open() < p.limit && !p.closed {
-		actions = append(actions, p.startOpen(term))
+		actions = append(actions, p.startOpen(k))
 	}
 	return actions
 }
@@ -289,13 +306,13 @@
 		return []Action{p.drop(id)}
 	}
 	c := p.conns[id]
-	at := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.term == c.term })
+	at := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.key == c.key })
 	if at >= 0 {
 		w := p.waiters[at]
 		p.waiters = slices.Delete(p.waiters, at, at+1)
 		return []Action{Assign{w.id, id}}
 	}
-	if len(p.waiters) > 0 {
+	if p.blocksWaiter(c.key) {
 		return []Action{p.drop(id)}
 	}
 	c.idleSince = now
@@ -304,6 +321,15 @@
 	return nil
 }
 
+// blocksWaiter reports whether an idle connection with the key would keep a request
+// waiting: the request needs its place, or a connection of another term.
+func (p *Pool) blocksWaiter(k Key) bool {
+	if len(p.waiters) == 0 {
+		return false
+	}
+	return p.open() >= p.limit || slices.ContainsFunc(p.waiters, func(w waiter) bool { return w.key.Term != k.Term })
+}
+
 func (p *Pool) drop(id ConnID) Action {
 	delete(p.conns, id)
 	return Close{id}
@@ -316,16 +342,39 @@
 }
 
 // openForWaiters opens connections until one is being opened for each waiter. A
-// waiter gets whichever is available first, a new connection or a released one.
+// waiter gets whichever is available first, a new connection or a released one. At the
+// limit, an idle connection with another key makes room, the one that is idle longest.
 func (p *Pool) openForWaiters() []Action {
+	if p.closed || p.backingOff {
+		return nil
+	}
 	var actions []Action
-	for p.opening < len(p.waiters) && p.open() < p.limit && !p.closed && !p.backingOff {
-		actions = append(actions, p.startOpen(p.waiters[p.opening].term))
+	needed := map[Key]int{}
+	for _, w := range p.waiters {
+		needed[w.key]++
+		if needed[w.key] <= p.openingFor[w.key] {
+			continue
+		}
+		if p.open() >= p.limit && len(p.idle) > 0 {
+			actions = append(actions, p.dropOldest())
+		}
+		if p.open() >= p.limit {
+			return actions
+		}
+		actions = append(actions, p.startOpen(w.key))
 	}
 	return actions
 }
 
-func (p *Pool) startOpen(term topo.Term) Action {
+func (p *Pool) startOpen(k Key) Action {
 	p.opening++
-	return Open{term}
+	p.openingFor[k]++
+	return Open{k}
+}
+
+func (p *Pool) endOpen(k Key) {
+	p.opening--
+	if p.openingFor[k]--; p.openingFor[k] <= 0 {
+		delete(p.openingFor, k)
+	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,11 +20,13 @@
 	"github.com/cicadacove/cicadacove/internal/core/routing"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlview"
+	"github.com/cicadacove/cicadacove/internal/gate"
 	"github.com/cicadacove/cicadacove/internal/groupstate"
 )
 
 // Options configure an Engine.
 type Options[C Conn] struct {
+	Self    topo.InstanceID
 	Zone    topo.Zone
 	Control ctlview.Control
 	// Catalog returns the active configuration, nil before the first one.
@@ -52,6 +55,11 @@
 	// sampledForOthersAt is when another instance last asked this one for the
 	// positions of primaries; nil means never.
 	sampledForOthersAt atomic.Pointer[time.Time]
+	// relays decides which statements other instances run for this one, held runs those
+	// of others. relayName is unique for this run of the instance.
+	relays    relays
+	held      *relayHolder[C]
+	relayName string
 }
 
 // New returns an Engine with the given options.
@@ -61,6 +69,8 @@
 	}
 	e := &Engine[C]{opts: opts, groups: groupstate.New(admission.Ranked, fullShares{}), retries: retryBudget{budget: retry.NewBudget()}}
 	e.pools = connpool.NewSet(e.openPooledConn, e.connectionShare)
+	e.held = newRelayHolder(e)
+	e.relayName = string(opts.Self) + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	e.handlePeers()
 	return e
 }
@@ -100,23 +110,50 @@
 			limit = g.Connections
 		}
 	}
-	return pool.Share(limit, e.opts.Share())
+	set, relayed := e.holdersOf(a.ID)
+	switch {
+	case !relayed:
+		return pool.Share(limit, e.opts.Share())
+	case set.holdsSelf:
+		return set.connections
+	}
+	return spareConnections
 }
 
-// Open starts a session for a database name. If it returns no session, the
-// outcome gives the reason.
-func (e *Engine[C]) Open(database string) (*Session[C], outcome.Outcome) {
+// spareConnections is how many connections an instance may open to an upstream of which
+// it is no holder, when no holder can be reached.
+const spareConnections = 1
+
+// DrainRelays makes this instance refuse new work of other instances.
+func (e *Engine[C]) DrainRelays() { e.held.drain() }
+
+// EndRelays rolls the transactions of other instances back at their next statement
+// boundary.
+func (e *Engine[C]) EndRelays() { e.held.endTransactions() }
+
+// Relayed returns the number of statements and transactions of other instances that this
+// one serves.
+func (e *Engine[C]) Relayed() int { return e.held.held() }
+
+// Open starts a session of a caller with a key for a database name. If it returns no
+// session, the outcome gives the reason.
+func (e *Engine[C]) Open(database, key string) (*Session[C], outcome.Outcome) {
 	c := e.opts.Catalog()
 	if c == nil {
 		return nil, outcome.Refused(outcome.CodeNoUpstream, "this entry instance has no configuration yet")
 	}
-	if _, ok := c.Routes[database]; !ok {
+	route, ok := c.Routes[database]
+	if !ok {
 		return nil, noDatabase(database)
 	}
+	digest := catalog.DigestKey(key)
+	if _, ok := authorize(c, route, digest); !ok {
+		return nil, unauthenticated()
+	}
 	if e.opts.Control.IsolatedWithoutLease() {
 		return nil, outcome.Refused(outcome.CodeNoPrimary, "this entry instance is isolated from the others")
 	}
-	return newSession(e, database), outcome.Outcome{}
+	return newSession(e, database, digest), outcome.Outcome{}
 }
 
 func noDatabase(name string) outcome.Outcome {
@@ -149,18 +186,44 @@
 }
 
 func (e *Engine[C]) maintain(ctx context.Context) {
+	e.updateRelayPlan()
 	e.pools.Each(func(id topo.UpstreamID, m *connpool.Member[*pooledConn[C]]) {
 		limit := e.connectionShare(m.Upstream())
 		m.SetLimit(limit)
-		m.Reap(time.Now(), pool.IdleTimeout(limit))
+		m.Reap(time.Now(), e.idleTimeout(id, limit))
 		m.Retry(time.Now())
 		if gt, used := e.groups.GateOf(id); used {
 			gt.SetConnections(limit) // the gate orders requests by rank, the pool only by arrival
+			e.setSlots(gt, m.Upstream())
 		}
 	})
 	e.samplePositions(ctx, clock.Now())
 }
 
+// idleTimeout returns how long a connection to an upstream may stay idle. A holder keeps
+// its connections, since those of all holders fit.
+func (e *Engine[C]) idleTimeout(id topo.UpstreamID, limit int) time.Duration {
+	if set, relayed := e.holdersOf(id); relayed && set.holdsSelf {
+		return pool.IdleLimit
+	}
+	return pool.IdleTimeout(limit)
+}
+
+// setSlots limits the statements that a holder of an upstream runs there at once.
+func (e *Engine[C]) setSlots(gt *gate.Gate, a topo.Announcement) {
+	set, relayed := e.holdersOf(a.ID)
+	if !relayed {
+		return
+	}
+	slots := max(a.Slots, 1)
+	if set.holdsSelf {
+		slots = set.slots
+	}
+	if gt.Load().Slots != slots {
+		gt.SetSlots(slots)
+	}
+}
+
 // maxSampleWait bounds a read's wait for the primary's position. Without the
 // position, all reads go to the primary.
 const maxSampleWait = 100 * time.Millisecond
@@ -214,25 +277,40 @@
 	if !ok {
 		return errNoAuthority
 	}
-	m := e.pools.Get(auth.Primary)
-	pc, err := m.Acquire(ctx, 0)
-	if err != nil {
-		return err
-	}
-	defer m.Release(pc)
 	sentAt := clock.Now()
-	results, err := pc.reset(ctx)
+	result, err := e.reset(ctx, placement{upstream: auth.Primary, term: auth.Term})
 	if err != nil {
 		return err
 	}
 	if !e.opts.Control.Holds(id, auth.Term) {
 		return errNoAuthority
 	}
-	e.groups.Get(id).ObservePrimary(results.Point, sentAt)
+	e.groups.Get(id).ObservePrimary(result.Point, sentAt)
 	e.opts.Control.ReportPrimary(id, auth.Term, true)
 	return nil
 }
 
+// reset runs a statement at an upstream that needs no slot.
+func (e *Engine[C]) reset(ctx context.Context, at placement) (Result, error) {
+	r := request{arrived: time.Now()}
+	if relayed, ok := e.newAccess(at, r).(*relayAccess[C]); ok {
+		relayed.request = r
+		return relayed.execute(ctx, connState{}, Statement{Verb: Reset})
+	}
+	return e.resetLocally(ctx, at.upstream)
+}
+
+// resetLocally is reset on a connection of this instance.
+func (e *Engine[C]) resetLocally(ctx context.Context, a topo.Announcement) (Result, error) {
+	m := e.pools.Get(a)
+	pc, err := m.Acquire(ctx, connpool.Key{})
+	if err != nil {
+		return Result{}, err
+	}
+	defer m.Release(pc)
+	return pc.reset(ctx)
+}
+
 // nextCallerID returns a unique name for fair queueing among callers.
 func (e *Engine[C]) nextCallerID() uint64 { return e.nextID.Add(1) }
 
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -12,10 +12,12 @@
 type StatementEnd struct {
 	ID       string
 	Database string
-	Route    catalog.Route
-	Verb     Verb
-	Outcome  outcome.Outcome
-	Upstream topo.UpstreamID
+	// Organisation is the caller's organisation, empty if there is none.
+	Organisation string
+	Route        catalog.Route
+	Verb         Verb
+	Outcome      outcome.Outcome
+	Upstream     topo.UpstreamID
 	// Term is the term of the lease that the answer depended on, zero if none.
 	Term topo.Term
 	// Required is the point that a read had to cover, RequiredAge the minimum
--- a/internal/engine/hold.go
+++ b/internal/engine/hold.go
@@ -40,16 +40,6 @@
 	return t.times.Unqueued(k)
 }
 
-// observeTime updates the estimates of service time and queueing with the time
-// of a statement that ran.
-func (a *access[C]) observeTime(st Statement, took time.Duration, now time.Time) {
-	if st.Verb != Read && st.Verb != Write && st.Verb != Execute {
-		return
-	}
-	unqueued := a.engine.serviceTimes.observe(a.serviceTimeKey, took)
-	a.engine.groups.Get(a.upstream.Group).ObserveTime(a.upstream.ID, took, unqueued, now)
-}
-
 // pauseIfCongested holds work back for a short time if the upstream's queue delays
 // more urgent work. held is false when the statement may be sent now. Otherwise
 // the caller checks the placement again, unless the outcome is a refusal.
--- a/internal/engine/pooled_conn.go
+++ b/internal/engine/pooled_conn.go
@@ -24,8 +24,8 @@
 
 func (e *Engine[C]) openPooledConn(a topo.Announcement) connpool.OpenFunc[*pooledConn[C]] {
 	open := e.opts.Open(a)
-	return func(ctx context.Context, term topo.Term) (*pooledConn[C], error) {
-		c, err := open(ctx, term)
+	return func(ctx context.Context, k connpool.Key) (*pooledConn[C], error) {
+		c, err := open(ctx, k)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/engine/positions.go
+++ b/internal/engine/positions.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/clock"
+	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
@@ -40,6 +41,8 @@
 	// Sampler returns the address of the instance that samples the positions of
 	// primaries for this one, empty if there is none; nil means that there is none.
 	Sampler func() string
+	// Members returns the live entry instances; nil disables relaying.
+	Members func() []ctlstate.Member
 }
 
 func (e *Engine[C]) handlePeers() {
@@ -51,6 +54,11 @@
 		return positionReply{Known: known, Point: p, Age: clock.Since(at)}, nil
 	})
 	peer.Handle(e.opts.Peers.Server, kindPositions, e.onPositions)
+	peer.Handle(e.opts.Peers.Server, kindRelay, e.held.handle)
+	peer.Handle(e.opts.Peers.Server, kindRelayEnd, func(_ context.Context, tx relayTx) (struct{}, error) {
+		e.held.end(tx)
+		return struct{}{}, nil
+	})
 }
 
 // queryPeers queries the other instances for a primary's position. The age in the
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -77,7 +77,7 @@
 		ctx, cancel = context.WithDeadline(ctx, w.arrived.Add(firstAttemptTimeout(w.route)))
 		defer cancel()
 	}
-	a := s.engine.newAccess(at.upstream, at.term, w.route)
+	a := s.engine.newAccess(at, w.request)
 	defer a.close()
 	o, err := a.open(ctx, w.request)
 	s.event.Waited = time.Since(w.arrived)
@@ -88,6 +88,9 @@
 		return refused(o), false
 	}
 	result, err := s.execute(ctx, a, w, at.required)
+	if o, final := finalRefusal(err); final {
+		return refused(o), false
+	}
 	if err != nil {
 		return refused(unavailable(err)), true
 	}
@@ -127,20 +130,13 @@
 	return false, outcome.Outcome{}
 }
 
-// execute sets the connection up for the session and runs the statement.
-func (s *Session[C]) execute(ctx context.Context, a *access[C], w workItem, after topo.Point) (Result, error) {
-	name, err := a.conn.setUp(ctx, s.values, w.def)
-	if err != nil {
-		return Result{}, err
-	}
+// execute runs the statement with the session's state.
+func (s *Session[C]) execute(ctx context.Context, a access, w workItem, after topo.Point) (Result, error) {
 	st := w.statement
-	if w.def != nil {
-		st.Name = name
-	}
 	if !w.writes {
 		st.After = after
 	}
-	return a.run(ctx, st)
+	return a.execute(ctx, connState{s.values, w.def}, st)
 }
 
 // answer converts an upstream's answer into a reply.
@@ -176,7 +172,10 @@
 // that cannot have taken effect.
 func unavailable(err error) outcome.Outcome {
 	var refusedBy *RefusedError
+	var notRun *NotRunError
 	switch {
+	case errors.As(err, &notRun):
+		return notRun.Outcome
 	case errors.As(err, &refusedBy):
 		return outcome.Refused(outcome.CodeNoUpstream, err.Error())
 	case errors.Is(err, connpool.ErrExhausted), errors.Is(err, connpool.ErrSlow):
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"strconv"
@@ -19,7 +20,9 @@
 type Session[C Conn] struct {
 	engine   *Engine[C]
 	database string
-	name     string
+	// key is the digest of the caller's key.
+	key  catalog.KeyDigest
+	name string
 	// values and prepared are the state that the caller has set.
 	values   map[string]string
 	prepared map[string]Definition
@@ -39,9 +42,9 @@
 	at    time.Time
 }
 
-func newSession[C Conn](e *Engine[C], database string) *Session[C] {
+func newSession[C Conn](e *Engine[C], database string, key catalog.KeyDigest) *Session[C] {
 	return &Session[C]{
-		engine: e, database: database, name: strconv.FormatUint(e.nextCallerID(), 10),
+		engine: e, database: database, key: key, name: strconv.FormatUint(e.nextCallerID(), 10),
 		values: map[string]string{}, prepared: map[string]Definition{}, lastCommits: map[topo.GroupID]commitPoint{},
 	}
 }
@@ -192,6 +195,7 @@
 // workItem is a statement that is to run at an upstream.
 type workItem struct {
 	request
+	route     catalog.Route
 	statement Statement
 	// def is set for an Execute.
 	def    *Definition
@@ -206,7 +210,13 @@
 		return refused(noDatabase(s.database))
 	}
 	s.event.Route = route
-	w := workItem{request: request{route: route, caller: s.name, arrived: arrived}, statement: st, writes: st.Verb == Write}
+	organisation, ok := s.authorize(route)
+	if !ok {
+		return s.refuseUnauthenticated(st)
+	}
+	s.event.Organisation = organisation
+	r := request{service: route.Service, organisation: organisation, caller: cmp.Or(organisation, s.name), arrived: arrived}
+	w := workItem{request: r, route: route, statement: st, writes: st.Verb == Write}
 	if st.Verb == Execute {
 		def, known := s.prepared[st.Name]
 		if !known {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -13,10 +13,12 @@
 // transaction is a caller's open transaction. It has a connection from its first
 // statement on.
 type transaction[C Conn] struct {
-	route     catalog.Route
-	readOnly  bool
-	access    *access[C]
-	placement placement
+	route catalog.Route
+	// organisation is the one that the caller's key had when the transaction began.
+	organisation string
+	readOnly     bool
+	access       access
+	placement    placement
 	// wrote means that one of its statements may have written.
 	wrote bool
 	// refusedBusy means that an upstream without a free slot refused its latest
@@ -35,7 +37,11 @@
 		return refused(noDatabase(s.database))
 	}
 	s.event.Route = route
-	s.tx = &transaction[C]{route: route, readOnly: st.ReadOnly}
+	organisation, ok := s.authorize(route)
+	if !ok {
+		return refused(unauthenticated())
+	}
+	s.tx = &transaction[C]{route: route, organisation: organisation, readOnly: st.ReadOnly}
 	return done()
 }
 
@@ -103,7 +109,7 @@
 		if !tx.refusedBusy || !s.engine.retryBusy(ctx, w, attempt) {
 			return r
 		}
-		s.tx, s.failed = &transaction[C]{route: tx.route, readOnly: tx.readOnly}, false
+		s.tx, s.failed = &transaction[C]{route: tx.route, organisation: tx.organisation, readOnly: tx.readOnly}, false
 		tx = s.tx
 	}
 }
@@ -126,7 +132,7 @@
 		if !ok {
 			return o
 		}
-		s.tx.access, s.tx.placement = s.engine.newAccess(at.upstream, at.term, w.route), at
+		s.tx.access, s.tx.placement = s.engine.newAccess(at, w.request), at
 		o, retry := s.beginAt(ctx, w, s.tx.access, at)
 		if o.Kind == "" {
 			return o
@@ -155,7 +161,7 @@
 	return primaryPlacement(auth, ok && !avoid[auth.Primary.ID])
 }
 
-func (s *Session[C]) beginAt(ctx context.Context, w workItem, a *access[C], at placement) (o outcome.Outcome, retry bool) {
+func (s *Session[C]) beginAt(ctx context.Context, w workItem, a access, at placement) (o outcome.Outcome, retry bool) {
 	o, err := a.open(ctx, w.request)
 	if err != nil {
 		return unavailable(err), true
@@ -163,11 +169,11 @@
 	if o.Kind != "" {
 		return o, false
 	}
-	if _, err := a.conn.setUp(ctx, s.values, w.def); err != nil {
-		return unavailable(err), true
-	}
 	begin := Statement{Verb: Begin, ReadOnly: s.tx.readOnly, After: at.required}
-	r, err := a.run(ctx, begin)
+	r, err := a.execute(ctx, connState{s.values, w.def}, begin)
+	if o, final := finalRefusal(err); final {
+		return o, false
+	}
 	if err != nil {
 		return unavailable(err), true
 	}
@@ -245,7 +251,8 @@
 
 func lostCommit(ctx context.Context, err error) outcome.Outcome {
 	var setUp *SetUpError
-	if errors.As(err, &setUp) {
+	var notRun *NotRunError
+	if errors.As(err, &setUp) || errors.As(err, &notRun) {
 		return rolledBack(err.Error())
 	}
 	return lostWrite(ctx, err)
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -40,28 +40,28 @@
 
 // Definition describes a prepared statement: its shape and whether it writes.
 type Definition struct {
-	Writes bool
-	Shape  string
+	Writes bool   `msgpack:"w,omitempty"`
+	Shape  string `msgpack:"s"`
 }
 
 // Statement is one request of a caller, or of the engine to an upstream.
 type Statement struct {
 	// ID names the request, empty for the engine's own statements.
-	ID   string
-	Verb Verb
+	ID   string `msgpack:"i,omitempty"`
+	Verb Verb   `msgpack:"v"`
 	// ReadOnly marks a Begin whose transaction only reads.
-	ReadOnly bool
+	ReadOnly bool `msgpack:"r,omitempty"`
 	// Text is the item and data of Read, Write and Execute, passed on
 	// unchanged.
-	Text string
+	Text string `msgpack:"t,omitempty"`
 	// Name is the name of a session value or of a prepared statement.
-	Name string
+	Name string `msgpack:"n,omitempty"`
 	// Value is the session value.
-	Value      string
-	Definition Definition
+	Value      string     `msgpack:"-"`
+	Definition Definition `msgpack:"-"`
 	// After is the point that the upstream's log must cover before it runs a
 	// Read, an Execute that reads or a Begin. Zero requires nothing.
-	After topo.Point
+	After topo.Point `msgpack:"a"`
 }
 
 // TxState is the state of a session's transaction.
@@ -138,14 +138,14 @@
 
 // Result is an upstream's answer to one statement.
 type Result struct {
-	Rows      []string
-	Signature string
-	Code      Code
+	Rows      []string `msgpack:"r,omitempty"`
+	Signature string   `msgpack:"g,omitempty"`
+	Code      Code     `msgpack:"c,omitempty"`
 	// Detail is the upstream's message for the code.
-	Detail string
-	State  TxState
+	Detail string  `msgpack:"d,omitempty"`
+	State  TxState `msgpack:"s"`
 	// Point is the end of the upstream's log as of the answer.
-	Point topo.Point
+	Point topo.Point `msgpack:"p"`
 }
 
 // Conn is one connection to an upstream. One goroutine uses it at a time.
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -39,7 +39,7 @@
 	}
 	at := placement{upstream: auth.Primary, term: auth.Term}
 	s.recordPlacement(at)
-	a := s.engine.newAccess(at.upstream, at.term, w.route)
+	a := s.engine.newAccess(at, w.request)
 	defer a.close()
 	o, err := a.open(ctx, w.request)
 	s.event.Waited = time.Since(w.arrived)
@@ -88,7 +88,10 @@
 // lostWrite returns the outcome of a write whose answer was lost.
 func lostWrite(ctx context.Context, err error) outcome.Outcome {
 	var setUp *SetUpError
+	var notRun *NotRunError
 	switch {
+	case errors.As(err, &notRun):
+		return notRun.Outcome
 	case errors.As(err, &setUp):
 		return outcome.Refused(outcome.CodeNoUpstream, err.Error())
 	case errors.Is(context.Cause(ctx), ErrStopping):
--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -55,7 +55,7 @@
 		permit.Release()
 		return outcome.Outcome{}, errCircuitOpen
 	}
-	conn, err := a.member.Acquire(ctx, a.term)
+	conn, err := a.member.Acquire(ctx, connpool.Key{Term: a.term})
 	if err != nil {
 		permit.Release()
 		a.recordConnectError(ctx, err)
--- a/internal/entry/housekeeping.go
+++ b/internal/entry/housekeeping.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/pool"
 	"github.com/cicadacove/cicadacove/internal/core/requestid"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -86,11 +87,11 @@
 		state, _ := s.opts.Control.Group(id)
 		for _, u := range s.opts.Control.Upstreams(id) {
 			if u.ID != state.Primary {
-				s.opts.Upstreams.Get(u.Announcement).Warm(warmConns, 0)
+				s.opts.Upstreams.Get(u.Announcement).Warm(warmConns, connpool.Key{})
 			}
 		}
 		if auth, ok := s.opts.Control.Authority(id); ok {
-			s.opts.Upstreams.Get(auth.Primary).Warm(warmConns, auth.Term)
+			s.opts.Upstreams.Get(auth.Primary).Warm(warmConns, connpool.Key{Term: auth.Term})
 		}
 	})
 }
@@ -116,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, purgeTimeout)
 	defer cancel()
 	m := s.opts.Upstreams.Get(auth.Primary)
-	conn, err := m.Acquire(ctx, auth.Term)
+	conn, err := m.Acquire(ctx, connpool.Key{Term: auth.Term})
 	if err != nil {
 		return
 	}
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -303,7 +303,7 @@
 		return errNoAuthority
 	}
 	m := s.opts.Upstreams.Get(auth.Primary)
-	conn, err := m.Acquire(ctx, auth.Term)
+	conn, err := m.Acquire(ctx, connpool.Key{Term: auth.Term})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/attempt"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/requestid"
@@ -23,7 +24,7 @@
 	}
 	w.bindLease(auth)
 	m := w.session.server.opts.Upstreams.Get(auth.Primary)
-	conn, err := m.Acquire(w.leaseCtx, auth.Term)
+	conn, err := m.Acquire(w.leaseCtx, connpool.Key{Term: auth.Term})
 	if err != nil {
 		return attempt.Unresolved
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -36,8 +36,8 @@
 
 // Call sends a request and waits for its reply. Errors: *RemoteError from the
 // handler, ErrClosed when the connection failed before the reply arrived, the
-// error of the context, or an error of the dial or the handshake, in which case
-// the request was not sent.
+// error of the context, or a *NotSentError with the error of the dial, of the handshake
+// or of the context.
 func Call[Rep any](ctx context.Context, c *Client, addr, kind string, req any) (Rep, error) {
 	var rep Rep
 	body, err := msgpack.Marshal(req)
@@ -68,7 +68,7 @@
 func (c *Client) roundTrip(ctx context.Context, addr, kind string, body []byte) (Frame, error) {
 	l := c.link(addr)
 	if err := l.waitConnected(ctx); err != nil {
-		return Frame{}, err
+		return Frame{}, &NotSentError{err}
 	}
 	id, reply := l.addPending()
 	defer l.removePending(id)
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -72,6 +72,16 @@
 	maxConcurrentRequests = 1024
 )
 
+// NotSentError means that a request was not sent, since no connection to the server could
+// be used.
+type NotSentError struct{ Err error }
+
+// Error returns the text of the cause.
+func (e *NotSentError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
 // RemoteError is an error that the server returned for a request.
 type RemoteError struct{ Text string }
 
--- a/internal/upstream/confirm.go
+++ b/internal/upstream/confirm.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
@@ -153,7 +154,7 @@
 func (wt *watcher) query(pool *Pool, point topo.Point) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*confirmPoll)
 	defer cancel()
-	c, err := pool.Acquire(ctx, 0)
+	c, err := pool.Acquire(ctx, connpool.Key{})
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/pools.go
+++ b/internal/upstream/pools.go
@@ -20,7 +20,7 @@
 func NewSet(user, password string, dial DialFunc, limit func(topo.Announcement) int) *Set {
 	open := func(a topo.Announcement) connpool.OpenFunc[*Conn] {
 		target := Target{ID: a.ID, Group: a.Group, Addr: a.Addr, User: user, Password: password, Dial: dial}
-		return func(ctx context.Context, term topo.Term) (*Conn, error) { return Connect(ctx, target, term) }
+		return func(ctx context.Context, k connpool.Key) (*Conn, error) { return Connect(ctx, target, k.Term) }
 	}
 	return connpool.NewSet(open, limit)
 }
