--- a/internal/core/quota/owner.go
+++ b/internal/core/quota/owner.go
@@ -76,15 +76,15 @@
 
 func newBucket(now time.Time, l Limit, t Tolerance, disabled Mechanisms) *bucket {
 	// The predecessor may have handed out everything.
-	level := min(startPart*t.excess(l), l.capacity())
+	level := min(startPart*t.excess(l), t.depth(l))
 	if disabled.EmptyStart {
-		level = l.capacity()
+		level = t.depth(l)
 	}
 	return &bucket{level: level, at: now, sweptAt: now, fallbacks: map[topo.InstanceID]fallbackGrant{}}
 }
 
 func (b *bucket) answer(now time.Time, l Limit, t Tolerance, ask Ask) Answer {
-	b.refill(now, l)
+	b.refill(now, l.Rate, t.depth(l))
 	b.level -= float64(max(ask.Owed, 0))
 	var answer Answer
 	want := min(max(ask.Want, 0), maxBatch)
@@ -97,12 +97,12 @@
 	return answer
 }
 
-func (b *bucket) refill(now time.Time, l Limit) {
+func (b *bucket) refill(now time.Time, rate, depth float64) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.level += l.Rate * elapsed.Seconds()
+		b.level += rate * elapsed.Seconds()
 		b.at = now
 	}
-	b.level = min(b.level, l.capacity())
+	b.level = min(b.level, depth)
 }
 
 // untilToken returns the time until the bucket has one token.
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -51,10 +51,13 @@
 	// startPart is the level of a new owner's bucket.
 	startPart = 0.15
 	// fallbackPart is the sum of what all instances may use without an owner.
-	fallbackPart = 0.15
+	fallbackPart = 0.25
 	// sharePart is the sum, for each window, of the shares of instances that
 	// have neither an owner nor a fallback.
-	sharePart = 0.15
+	sharePart = 0.1
+	// depthPart is by how much the bucket is deeper than the burst, so that
+	// tokens which expire unused do not cost organisations within their limit.
+	depthPart = 0.1
 )
 
 // Limit is the rate limit of an organisation.
@@ -65,10 +68,6 @@
 	Burst float64
 }
 
-// capacity returns the size of the token bucket. A bucket of less than one token
-// would never admit an operation.
-func (l Limit) capacity() float64 { return max(l.Burst, 1) }
-
 // Tolerance is the permitted excess over a limit, summed over all instances.
 type Tolerance struct {
 	Window  time.Duration
@@ -86,6 +85,10 @@
 	return t.Overrun*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
 }
 
+// depth returns the size of the token bucket. A bucket of less than one token would
+// never admit an operation.
+func (t Tolerance) depth(l Limit) float64 { return max(l.Burst+depthPart*t.excess(l), 1) }
+
 // Ask is a request for tokens.
 type Ask struct {
 	From topo.InstanceID `msgpack:"f"`
