--- a/internal/core/quota/holder.go
+++ b/internal/core/quota/holder.go
@@ -48,8 +48,10 @@
 	rate    average
 
 	refusedUntil time.Time
-	owner        topo.InstanceID
-	pausedUntil  time.Time
+	// nextToken is when the owner expects its next token.
+	nextToken   time.Time
+	owner       topo.InstanceID
+	pausedUntil time.Time
 
 	fallback fallback
 	// phase is the fraction of an operation that fallbacks may use beyond their
@@ -95,7 +97,7 @@
 		return Decision{Verdict: Admit, Prefetch: h.isLow(now) && h.canAsk(now, owner)}
 	}
 	if h.refusedUntil.After(now) {
-		return Decision{Verdict: Refuse, RetryAfter: h.refusedUntil.Sub(now)}
+		return Decision{Verdict: Refuse, RetryAfter: max(h.nextToken.Sub(now), maxRefusal)}
 	}
 	if h.canAsk(now, owner) {
 		return Decision{Verdict: AskOwner}
@@ -168,6 +170,7 @@
 	}
 	if a.Tokens < ask.Want {
 		h.refusedUntil = now.Add(min(max(a.RetryAfter, minRefusal), maxRefusal))
+		h.nextToken = now.Add(a.RetryAfter)
 	}
 }
 
--- a/internal/quota/organisation.go
+++ b/internal/quota/organisation.go
@@ -47,26 +47,28 @@
 	return &organisation{quota: q, name: name, holder: holder}
 }
 
-// take decides on one operation.
-func (o *organisation) take(ctx context.Context, limit corequota.Limit) (time.Duration, bool) {
+// take decides on one operation that arrives at now. It reads the clock only after a
+// wait, since a reading is a system call.
+func (o *organisation) take(ctx context.Context, now time.Time, limit corequota.Limit) (time.Duration, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.holder.Arrive(o.quota.options.Now())
+	o.holder.Arrive(now)
 	for range maxRounds {
-		decision := o.decide(limit)
+		decision := o.decide(now, limit)
 		if decision.Verdict != corequota.AskOwner {
-			return o.finish(decision)
+			return o.finish(now, decision)
 		}
-		if !o.wait(ctx) {
+		answered := o.wait(ctx)
+		now = o.quota.options.Now()
+		if !answered {
 			break
 		}
 	}
-	return o.finish(corequota.Decision{Verdict: corequota.Refuse, RetryAfter: roundsRetryAfter})
+	return o.finish(now, corequota.Decision{Verdict: corequota.Refuse, RetryAfter: roundsRetryAfter})
 }
 
 // decide decides with the current view. The caller holds the lock.
-func (o *organisation) decide(limit corequota.Limit) corequota.Decision {
-	now := o.quota.options.Now()
+func (o *organisation) decide(now time.Time, limit corequota.Limit) corequota.Decision {
 	owner := o.currentOwner()
 	decision := o.holder.Decide(now, owner.ID, func() float64 { return o.currentShare(now, limit) },
 		limit, o.quota.options.Tolerance)
@@ -159,10 +161,10 @@
 }
 
 // finish counts the decision. The caller holds the lock.
-func (o *organisation) finish(d corequota.Decision) (time.Duration, bool) {
+func (o *organisation) finish(now time.Time, d corequota.Decision) (time.Duration, bool) {
 	if d.Verdict == corequota.Refuse {
 		o.counts.Refused++
-		o.refused(o.quota.options.Now(), d)
+		o.refused(now, d)
 		return d.RetryAfter, false
 	}
 	o.counts.Taken++
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -106,7 +106,7 @@
 	}
 	now := q.options.Now()
 	q.observe(now)
-	return q.organisation(name, now).take(ctx, limit)
+	return q.organisation(name, now).take(ctx, now, limit)
 }
 
 func (q *Quota) limit(name string) (corequota.Limit, bool) {
