--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -378,7 +378,8 @@
 	return 1 / float64(max(len(a.controlState.Live()), 1))
 }
 
-// Members returns the entry instances that are known to be live.
+// Members returns the entry instances that are known to be live. It returns the same
+// slice until the view changes; the caller must not modify it.
 func (a *Agent) Members() []ctlstate.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/agent/isolation.go
+++ b/internal/agent/isolation.go
@@ -30,6 +30,23 @@
 	return a.isolatedSince, !a.isolatedSince.IsZero()
 }
 
+// maxWithoutControl is how long an instance counts itself to the live view while control is
+// unavailable to all instances.
+const maxWithoutControl = 5 * time.Second
+
+// InLiveView reports whether the other instances still count this one to the live view, as
+// far as it knows: it holds a lease, or control is unavailable to all instances, so that no
+// view without it can have begun.
+func (a *Agent) InLiveView() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.holder.Valid(a.now()) {
+		return true
+	}
+	registered := !a.renewedAt.IsZero() && a.leaseState != stateLeft
+	return registered && a.isolatedSince.IsZero() && a.now().Sub(a.renewedAt) < maxWithoutControl
+}
+
 // IsolatedWithoutLease reports whether this instance is isolated and has no lease,
 // so that it cannot expect one soon.
 func (a *Agent) IsolatedWithoutLease() bool {
--- a/internal/core/catalog/organisations.go
+++ b/internal/core/catalog/organisations.go
@@ -32,7 +32,9 @@
 const (
 	// maxRate bounds a rate and a burst, so that multiples of them can't overflow.
 	maxRate = 1e9
-	// minBurst lets an organisation with a very low limit start an operation at all.
+	// minRate and minBurst let an organisation with the lowest limit start an operation now
+	// and then: a rate of 0 means no limit elsewhere.
+	minRate  = 0.001
 	minBurst = 1
 )
 
@@ -74,10 +76,10 @@
 		o.Rate, o.Burst = 0, 0
 		return o
 	}
-	o.Rate = min(max(o.Rate, 0), maxRate)
+	o.Rate = min(max(o.Rate, minRate), maxRate)
 	o.Burst = min(max(o.Burst, minBurst), maxRate)
 	if math.IsNaN(o.Rate) || math.IsNaN(o.Burst) {
-		o.Rate, o.Burst = 0, minBurst
+		o.Rate, o.Burst = minRate, minBurst
 	}
 	return o
 }
--- a/internal/core/catalog/organisations_test.go
+++ b/internal/core/catalog/organisations_test.go
@@ -56,6 +56,6 @@
 		c, err := withOrganisations(OrganisationKeys{Organisation: Organisation{Name: "o", Rate: v, Burst: v, Limited: true}})
 		require.NoError(t, err)
 		o, _ := c.Organisation("o")
-		require.True(t, o.Rate >= 0 && o.Rate <= maxRate && o.Burst >= minBurst && o.Burst <= maxRate, "%v: %v", v, o)
+		require.True(t, o.Rate >= minRate && o.Rate <= maxRate && o.Burst >= minBurst && o.Burst <= maxRate, "%v: %v", v, o)
 	}
 }
--- a/internal/core/ctlstate/replica.go
+++ b/internal/core/ctlstate/replica.go
@@ -16,6 +16,8 @@
 	Epochs Epochs
 
 	members map[MemberKey]MemberRecord
+	// live caches the result of Live until the next change; nil means that it is not known.
+	live []Member
 }
 
 // NewReplica returns an empty replica.
@@ -44,6 +46,9 @@
 	if complete && d.Index > r.Index {
 		r.Index = d.Index
 	}
+	if changed || d.Full {
+		r.live = nil
+	}
 	return changed
 }
 
@@ -107,10 +112,11 @@
 	return list
 }
 
-// Live returns the members of the latest epoch, prepared or active.
+// Live returns the members of the latest epoch, prepared or active. It returns the same
+// slice until the next change; the caller must not modify it.
 func (r *Replica) Live() []Member {
-	if r.Epochs.Next != nil {
-		return r.Lookup(r.Epochs.Next.Members)
+	if r.live == nil {
+		r.live = r.Lookup(r.Epochs.latest().Members)
 	}
-	return r.Lookup(r.Epochs.Active.Members)
+	return r.live
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,6 +38,8 @@
 	Share func() float64
 	// Peers connects to the other entry instances; the zero value has no peers.
 	Peers Peers
+	// Quota limits the rate of organisations; nil admits all operations.
+	Quota Quota
 	// Events receives notifications of decisions; nil disables them.
 	Events Events
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -228,6 +228,10 @@
 	s.engine.retries.attempt()
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(route.StatementTimeout))
 	defer cancel()
+	if o, admitted := s.admitOperation(ctx, organisation); !admitted {
+		s.failIfOpen()
+		return refused(o)
+	}
 	switch {
 	case s.tx != nil:
 		return s.continueTransaction(ctx, w)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -19,6 +19,8 @@
 	readOnly     bool
 	access       access
 	placement    placement
+	// counted means that the transaction has been counted for the rate limit.
+	counted bool
 	// wrote means that one of its statements may have written.
 	wrote bool
 	// refusedBusy means that an upstream without a free slot refused its latest
