--- a/internal/agent/isolation.go
+++ b/internal/agent/isolation.go
@@ -96,7 +96,7 @@
 func (a *Agent) queryWitnesses(ctx context.Context) []isolation.Report {
 	ctx, cancel := context.WithTimeout(ctx, isolationCheckInterval)
 	defer cancel()
-	others := slices.DeleteFunc(a.Members(), func(m ctlstate.Member) bool { return m.ID == a.opts.Self.ID })
+	others := slices.DeleteFunc(slices.Clone(a.Members()), func(m ctlstate.Member) bool { return m.ID == a.opts.Self.ID })
 	slices.SortStableFunc(others, func(x, y ctlstate.Member) int {
 		return a.zoneOrder(x) - a.zoneOrder(y)
 	})
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -23,7 +23,7 @@
 	// usableShare is the share of an upstream's connections that its holders may use.
 	// The rest is for holders that take over while the upstream still counts the
 	// connections of a lost one, and for control.
-	usableShare = 0.8
+	usableShare = 0.5
 	// minHolders keeps an upstream in use while one holder is lost; maxHolders keeps the
 	// queue of an upstream in few places, so that ranks are compared there.
 	minHolders, maxHolders = 2, 4
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -23,6 +23,9 @@
 	// a *NotRunError nothing was sent to the upstream; after any other error the statement
 	// may have run.
 	execute(ctx context.Context, state connState, st Statement) (Result, error)
+	// via returns the instance whose connection the latest statement used, empty for this
+	// one.
+	via() topo.InstanceID
 	// releaseSlot releases the slot and keeps the connection.
 	releaseSlot()
 	// close releases everything. A transaction that is still open is rolled back, without
@@ -163,6 +166,9 @@
 	}
 }
 
+// via implements access.
+func (a *localAccess[C]) via() topo.InstanceID { return "" }
+
 // releaseSlot implements access.
 func (a *localAccess[C]) releaseSlot() {
 	if a.permit != nil {
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -18,6 +18,8 @@
 	Verb         Verb
 	Outcome      outcome.Outcome
 	Upstream     topo.UpstreamID
+	// Via is the instance on whose connection the statement ran, empty for this one.
+	Via topo.InstanceID
 	// Term is the term of the lease that the answer depended on, zero if none.
 	Term topo.Term
 	// Required is the point that a read had to cover, RequiredAge the minimum
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -136,7 +136,9 @@
 	if !w.writes {
 		st.After = after
 	}
-	return a.execute(ctx, connState{s.values, w.def}, st)
+	r, err := a.execute(ctx, connState{s.values, w.def}, st)
+	s.event.Via = a.via()
+	return r, err
 }
 
 // answer converts an upstream's answer into a reply.
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -13,6 +13,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/relay"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/peer"
 )
 
@@ -173,6 +174,14 @@
 	}
 }
 
+// via implements access.
+func (a *relayAccess[C]) via() topo.InstanceID {
+	if a.local != nil {
+		return ""
+	}
+	return a.holder.ID
+}
+
 // releaseSlot implements access. The holder has released the slot with its reply.
 func (a *relayAccess[C]) releaseSlot() {
 	if a.local != nil {
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -49,10 +49,10 @@
 // docs/operations/log.md describes the fields.
 func logFields(e engine.StatementEnd) []any {
 	return []any{
-		"request", e.ID, "database", e.Database, "verb", e.Verb.String(), "rank", e.Route.Service.Rank,
+		"request", e.ID, "database", e.Database, "organisation", e.Organisation, "verb", e.Verb.String(), "rank", e.Route.Service.Rank,
 		"outcome", string(e.Outcome.Kind), "code", e.Outcome.Code, "reason", e.Outcome.Reason,
 		"retry_after_ms", e.Outcome.RetryAfter.Milliseconds(),
-		"group", string(e.Route.Group), "upstream", string(e.Upstream), "term", uint64(e.Term),
+		"group", string(e.Route.Group), "upstream", string(e.Upstream), "via", string(e.Via), "term", uint64(e.Term),
 		"required", e.Required.String(), "required_age_ms", e.RequiredAge.Milliseconds(),
 		"config", e.Config, "attempts", e.Attempts, "held_ms", milliseconds(e.Held),
 		"upstream_wait_ms", milliseconds(e.UpstreamWait), "waited_ms", milliseconds(e.Waited), "took_ms", milliseconds(e.Took),
