--- a/internal/core/routing/select.go
+++ b/internal/core/routing/select.go
@@ -23,12 +23,22 @@
 	Primary bool
 	// FailureRate is the share of recent statements that it did not serve.
 	FailureRate float64
+	// Pace is the fraction of its usual reads that it may be sent after a start or
+	// recovery; zero and 1 mean all.
+	Pace float64
+	// diverted means that this read is to go elsewhere if another upstream can
+	// serve it at a reasonable cost.
+	diverted bool
 }
 
 // minLag is the smallest lag assumed for an upstream that is not known to cover
 // the point.
 const minLag = 10 * time.Millisecond
 
+// minDivertedCost is the least cost of a diverted read before it is scaled: an
+// upstream without a known response time would otherwise cost nothing.
+const minDivertedCost = 20 * time.Millisecond
+
 // Requirement is the point that a read must see.
 type Requirement struct {
 	Point topo.Point
@@ -45,7 +55,23 @@
 	if !topo.Covers(o.Point, r.Point) {
 		c += max(max(o.Lag, minLag)-r.Age, 0)
 	}
-	return withRetries(c, o.FailureRate)
+	c = withRetries(c, o.FailureRate)
+	if o.diverted {
+		c = time.Duration(float64(max(c, minDivertedCost)) / o.Pace)
+	}
+	return c
+}
+
+// Paced diverts reads from upstreams with a low pace, in proportion: draw is a random
+// number from 0 to below 1 for each read. A diverted read costs more there but is
+// not excluded, so it still runs there if the other upstreams are worse off.
+func Paced(offers []Offer, draw float64) []Offer {
+	for i, o := range offers {
+		if o.Pace > 0 && draw >= o.Pace {
+			offers[i].diverted = true
+		}
+	}
+	return offers
 }
 
 // Select returns the offer with the lowest expected response time, the first one
--- a/internal/core/routing/select_test.go
+++ b/internal/core/routing/select_test.go
@@ -85,3 +85,20 @@
 	require.Less(t, f.Rate(now), 0.05)
 	require.False(t, f.Failing())
 }
+
+// Guards against reads that go to a recovering upstream beyond its pace, and against
+// reads that can go nowhere else.
+func TestPacedDivertsReadsInProportion(t *testing.T) {
+	chosen := func(others ...Offer) (n int) {
+		for i := range 1000 {
+			offers := append([]Offer{{ID: "cold", ResponseTime: 20 * time.Millisecond, Pace: 0.25}}, others...)
+			if best, _ := Select(Requirement{}, Paced(offers, float64(i)/1000)); best.ID == "cold" {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 250, chosen(Offer{ID: "far", ResponseTime: 30 * time.Millisecond}))
+	require.Equal(t, 1000, chosen(), "the only upstream")
+	require.Equal(t, 1000, chosen(Offer{ID: "busy", QueueWait: time.Second}), "the other one is worse off")
+}
