core/routing: compare paces with the highest one

A read is now diverted by its upstream's pace relative to the highest, and the cost of a diverted read keeps the order of upstreams whose response time is unknown.

--- a/internal/core/routing/select.go
+++ b/internal/core/routing/select.go
@@ -35,9 +35,9 @@
 // the point.
 const minLag = 10 * time.Millisecond
 
-// minDivertedCost is the least cost of a diverted read before it is scaled: an
+// divertedCost is added to the cost of a diverted read before it is scaled: an
 // upstream without a known response time would otherwise cost nothing.
-const minDivertedCost = 20 * time.Millisecond
+const divertedCost = 20 * time.Millisecond
 
 // Requirement is the point that a read must see.
 type Requirement struct {
@@ -57,23 +57,33 @@
 	}
 	c = withRetries(c, o.FailureRate)
 	if o.diverted {
-		c = time.Duration(float64(max(c, minDivertedCost)) / o.Pace)
+		c = time.Duration(float64(c+divertedCost) / o.pace())
 	}
 	return c
 }
 
 // Paced diverts reads from upstreams with a low pace, in proportion: draw is a random
 // number from 0 to below 1 for each read. A diverted read costs more there but is
-// not excluded, so it still runs there if the other upstreams are worse off.
+// not excluded, so it still runs there if the other upstreams are worse off. Paces
+// count relative to the highest: where all are equally low, there is nowhere to go.
 func Paced(offers []Offer, draw float64) []Offer {
+	highest := 0.0
+	for _, o := range offers {
+		highest = max(highest, o.pace())
+	}
 	for i, o := range offers {
-		if o.Pace > 0 && draw >= o.Pace {
-			offers[i].diverted = true
-		}
+		offers[i].diverted = draw*highest >= o.pace()
 	}
 	return offers
 }
 
+func (o Offer) pace() float64 {
+	if o.Pace <= 0 {
+		return 1
+	}
+	return o.Pace
+}
+
 // Select returns the offer with the lowest expected response time, the first one
 // among equals. ok is false without offers.
 func Select(r Requirement, offers []Offer) (best Offer, ok bool) {
