--- a/internal/core/routing/select.go
+++ b/internal/core/routing/select.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -64,15 +65,14 @@
 
 // Paced diverts reads from upstreams with a low pace, in proportion: draw is a random
 // number from 0 to below 1 for each read. A diverted read costs more there but is
-// not excluded, so it still runs there if the other upstreams are worse off. Paces
-// count relative to the highest: where all are equally low, there is nowhere to go.
+// not excluded, so it still runs there if the other upstreams are worse off. Where none
+// has its full pace, no read is diverted: it would only meet another slow upstream.
 func Paced(offers []Offer, draw float64) []Offer {
-	highest := 0.0
-	for _, o := range offers {
-		highest = max(highest, o.pace())
+	if !slices.ContainsFunc(offers, func(o Offer) bool { return o.pace() >= 1 }) {
+		return offers
 	}
 	for i, o := range offers {
-		offers[i].diverted = draw*highest >= o.pace()
+		offers[i].diverted = draw >= o.pace()
 	}
 	return offers
 }
