--- a/internal/core/pace/simulation_test.go
+++ b/internal/core/pace/simulation_test.go
@@ -360,8 +360,8 @@
 }
 
 // Guards against a pace that costs callers more than none or than a fixed ramp. A
-// thousandth less than the better of them is accepted: a ramp is better by about half
-// of that for a database that goes down and up.
+// thousandth less than the better of them is accepted: a ramp is better by up to a third
+// of that for two of the loads.
 func TestPaceIsAtLeastAsGoodAsNoneAndAsARamp(t *testing.T) {
 	const groups = 10 // each of three databases: thirty in all
 	for _, load := range simLoads {
