--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -22,7 +22,7 @@
 	doublingTime = time.Second
 	// blindDoublingTime replaces doublingTime while there is no answer to judge by,
 	// for instances that send little. With 4 s instead of 10 s, 690 instances sent
-	// more than a database that was 8 times slow could bear.
+	// enough to slow a database that was 8 times slow further: callers got less.
 	blindDoublingTime = 10 * time.Second
 	// maxHintedValue bounds growth without answers while the database says that it
 	// is still slow.
