--- a/internal/core/pace/simulation_test.go
+++ b/internal/core/pace/simulation_test.go
@@ -360,8 +360,8 @@
 }
 
 // Guards against a pace that costs callers more than none or than a fixed ramp. A
-// thousandth less than the better of them is accepted: a ramp is better by up to a third
-// of that for two of the loads.
+// thousandth less than the better of them is accepted: another sequence of random
+// numbers changes the result of one way by up to 1.5 thousandths.
 func TestPaceIsAtLeastAsGoodAsNoneAndAsARamp(t *testing.T) {
 	const groups = 10 // each of three databases: thirty in all
 	for _, load := range simLoads {
