engine, core/relay: instances keep one connection of their own where connections are left

Cause: a relayed message passes two more links; at 1.4 Mbit/s that adds 10 ms and fills the links at the peak. Change: beside the holders, as many instances as connections are left for have one connection of their own and use it while it is free. Holders share half of the connections where organisations divide them, so that all can be opened again after a restart.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -22,9 +22,9 @@
 	// Tokens that were paid for before a window and are used in it are part of
 	// the tolerance: rate x PrepaidLife. 250 ms would use half of it for a
 	// limit without burst.
-	PrepaidLife = 200 * time.Millisecond
+	PrepaidLife = 100 * time.Millisecond
 	// FallbackLife is how long an instance may continue without an owner.
-	FallbackLife = 2 * time.Second
+	FallbackLife = 1500 * time.Millisecond
 	// AnswerTimeout is how long an instance waits for an owner, and OwnerPause
 	// how long it then does not ask this owner.
 	AnswerTimeout = 60 * time.Millisecond
@@ -49,15 +49,15 @@
 // differ.
 const (
 	// startPart is the level of a new owner's bucket.
-	startPart = 0.15
+	startPart = 0.2
 	// fallbackPart is the sum of what all instances may use without an owner.
-	fallbackPart = 0.25
+	fallbackPart = 0.45
 	// sharePart is the sum, for each window, of the shares of instances that
 	// have neither an owner nor a fallback.
-	sharePart = 0.1
+	sharePart = 0.05
 	// depthPart is by how much the bucket is deeper than the burst, so that
 	// tokens which expire unused do not cost organisations within their limit.
-	depthPart = 0.1
+	depthPart = 0.05
 )
 
 // Limit is the rate limit of an organisation.
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -20,10 +20,17 @@
 )
 
 const (
-	// usableShare is the share of an upstream's connections that its holders may use.
-	// The rest is for holders that take over while the upstream still counts the
-	// connections of a lost one, and for control.
-	usableShare = 0.5
+	// usableShare is the share of an upstream's connections that instances may use in all.
+	// The rest is for those that take over or restart while the upstream still counts the
+	// connections of lost ones, and for control.
+	usableShare = 0.75
+	// organisationShare is the share of the holders where connections belong to
+	// organisations. All of them may be opened again after a restart of all instances.
+	organisationShare = 0.5
+	// directShare is the share for instances that have one connection of their own beside
+	// the holders. A relayed message passes two more network links, and connections that
+	// holders don't need would be left unused.
+	directShare = 0.45
 	// minHolders keeps an upstream in use while one holder is lost; maxHolders keeps the
 	// queue of an upstream in few places, so that ranks are compared there.
 	minHolders, maxHolders = 2, 4
@@ -95,10 +102,25 @@
 	return membership.Rendezvous(key, holders, len(holders))
 }
 
+// HoldsDirect reports whether the instance may have one connection of its own to an
+// upstream, beside the holders. Connections that belong to organisations are not kept this
+// way: an instance would rarely find the one of the right organisation.
+func HoldsDirect(self topo.InstanceID, id topo.UpstreamID, members []ctlstate.Member, d Density) bool {
+	if d.Organisations > 0 {
+		return false
+	}
+	n := min(int(directShare*float64(d.Connections)), len(members))
+	return slices.ContainsFunc(membership.Rendezvous("direct/"+string(id), members, n), func(m ctlstate.Member) bool { return m.ID == self })
+}
+
 // ConnectionLimit returns how many connections to an upstream each of its holders may
 // have, at least one.
-func ConnectionLimit(connections, holders int) int {
-	return max(int(usableShare*float64(connections)/float64(max(holders, 1))), 1)
+func ConnectionLimit(d Density, holders int) int {
+	share := usableShare - directShare
+	if d.Organisations > 0 {
+		share = organisationShare
+	}
+	return max(int(share*float64(d.Connections)/float64(max(holders, 1))), 1)
 }
 
 // Slots returns how many statements each of an upstream's holders may run there at once.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -202,10 +202,10 @@
 	e.samplePositions(ctx, clock.Now())
 }
 
-// idleTimeout returns how long a connection to an upstream may stay idle. A holder keeps
-// its connections, since those of all holders fit.
+// idleTimeout returns how long a connection to an upstream may stay idle. Holders keep
+// their connections, since those of all instances fit.
 func (e *Engine[C]) idleTimeout(id topo.UpstreamID, limit int) time.Duration {
-	if set, relayed := e.holdersOf(id); relayed && set.holdsSelf {
+	if set, relayed := e.holdersOf(id); relayed && (set.holdsSelf || set.direct) {
 		return pool.IdleLimit
 	}
 	return pool.IdleTimeout(limit)
