entry: limit what PostgreSQL callers make an instance hold

A message was allocated whole as soon as its header had arrived, also before the caller was authenticated, and a caller that stopped within one kept it without limit of time. 40 callers that stopped within a statement of 15 MiB raised an instance to 663 MB, 40 that sent it whole to 1,296 MB.

A reader below the protocol's decoder now follows the headers, reserves the memory of a message before its body is read, and never reads beyond it. Messages before the authentication have at most 10,000 bytes; messages and answers have the minimum rate of the line protocol; prepared statements, answers and values of a session are limited or reserved. The new setting limits.memory (512 MiB) sizes the budget and the memory limit of the Go runtime. limits.callers is further limited by three quarters of the descriptors. A request that ends because memory for its caller is short doesn't count as a failure of the database.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/node"
 	"github.com/cicadacove/cicadacove/internal/settings"
 )
@@ -63,6 +65,13 @@
 	}
 }
 
+// limitMemory sets the soft memory limit of the Go runtime, unless the environment does.
+func limitMemory(memory int64) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(clientbudget.RuntimeLimit(memory))
+	}
+}
+
 func serve(s settings.Settings, out io.Writer) error {
 	if err := setVerbosity(s.Log.Level); err != nil {
 		return err
@@ -75,6 +84,7 @@
 	defer stop()
 	// The next signal has its default effect, also while the node starts.
 	context.AfterFunc(signals, stop)
+	limitMemory(int64(s.Limits.Memory))
 	opts, err := node.FromSettings(s, Version)
 	if err != nil {
 		return err
--- a/internal/cli/untrusted_test.go
+++ b/internal/cli/untrusted_test.go
@@ -28,7 +28,7 @@
 )
 
 // untrustedSettings lower the limits of the entry instances.
-var untrustedSettings = fmt.Sprintf("[limits]\ncallers = %d\n", untrustedCallers)
+var untrustedSettings = fmt.Sprintf("[limits]\ncallers = %d\nmemory = \"%dMiB\"\n", untrustedCallers, untrustedMemoryMb)
 
 // pgMessage is a message of the PostgreSQL protocol.
 func pgMessage(kind byte, body string) string {
@@ -146,3 +146,19 @@
 		})
 	}
 }
+
+// Guards against a limit that a single statement of legal size exceeds.
+func TestCallerOfALongStatementIsServed(t *testing.T) {
+	d := newDeployment(t)
+	d.settings = untrustedSettings
+	for i := range 3 {
+		d.startEntry(i)
+	}
+	for i := range 3 {
+		d.startDatabase(i)
+	}
+	d.applyContract()
+	d.writeUntilDone(d.caller(), 0, "returns", "table", "CREATE TABLE booking (id TEXT)")
+	d.writeUntilDone(d.caller(), 0, "booking", "long", "INSERT INTO booking VALUES ('"+strings.Repeat("v", 15<<20)+"')")
+	d.requireWithinBounds("entry-1")
+}
--- a/internal/engine/access.go
+++ b/internal/engine/access.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
@@ -140,7 +141,7 @@
 		a.member.DropIdleSince(before)
 	}
 	if err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) {
+		if !errors.Is(ctx.Err(), context.Canceled) && !errors.Is(err, clientbudget.ErrShort) {
 			a.observe(false)
 			a.failed(err)
 		}
--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -98,7 +99,7 @@
 func (a *access) recordFailure(err error) error {
 	a.conn.Close()
 	switch {
-	case errors.Is(err, context.Canceled) || errors.Is(err, errLeaseEnded) || errors.Is(err, errAbandoned):
+	case errors.Is(err, context.Canceled) || errors.Is(err, errLeaseEnded) || errors.Is(err, errAbandoned) || errors.Is(err, clientbudget.ErrShort):
 	case errors.Is(err, context.DeadlineExceeded):
 		// A slow statement does not show that the primary is unavailable; the
 		// agent's probes decide that.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/unit"
 )
@@ -33,6 +35,9 @@
 	// is nil, a longer answer is an error.
 	flush func([]byte) error
 	limit int
+	// account reserves the memory of the buffer; it may be nil. reserved is what it has.
+	account  *clientbudget.Account
+	reserved int
 	// streamed reports whether a part of the answer has been sent to the
 	// caller.
 	streamed bool
@@ -47,6 +52,12 @@
 		return err
 	}
 	a.buf = buf
+	if grown := cap(buf) - a.reserved; grown >= reserveStep {
+		a.reserved = cap(buf)
+		if err := a.account.Reserve(context.Background(), clientbudget.Answer, int64(grown)); err != nil {
+			return err
+		}
+	}
 	if len(a.buf) <= a.limit {
 		return nil
 	}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return attempt.NoEffect
 	}
-	ans := &answer{limit: maxWriteAnswer}
+	ans := &answer{account: w.session.account, limit: maxWriteAnswer}
 	a, err := conn.Receive(ctx, out.Filter(ans.collect))
 	if errors.Is(err, errAnswerTooLong) {
 		conn.Close()
@@ -212,7 +212,7 @@
 		w.access.recordFailure(err)
 		return attempt.Lost
 	}
-	ans := &answer{limit: maxWriteAnswer}
+	ans := &answer{account: w.session.account, limit: maxWriteAnswer}
 	a, err := conn.Receive(ctx, out.Filter(ans.collect))
 	if errors.Is(err, errAnswerTooLong) {
 		conn.Close()
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -60,6 +61,9 @@
 
 func (c *callerSession) serveSet(u *unit.Unit) error {
 	name, value := u.Stmt.Name, u.Stmt.Value
+	if len(value) > maxSettingBytes {
+		return c.refuse(outcome.Refused("54000", fmt.Sprintf("the value of %s is longer than %d bytes", name, maxSettingBytes)))
+	}
 	attr, isProxyAttr := strings.CutPrefix(name, statement.Prefix)
 	if !isProxyAttr {
 		if !ignoredParameters[name] {
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -214,7 +214,7 @@
 			return result{}, err
 		}
 	}
-	ans := &answer{limit: streamThreshold}
+	ans := &answer{account: c.account, limit: streamThreshold}
 	if d.Action == routing.UseReplica {
 		ans.flush = c.write
 	} else {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/accept"
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/contain"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/drain"
@@ -43,6 +44,9 @@
 	IdleTransaction time.Duration
 	// CallerWrite is the timeout for sending an answer to a caller.
 	CallerWrite time.Duration
+	// Memory is the memory of the machine in bytes, from which the budget of the callers is
+	// derived; 0 means no budget.
+	Memory int64
 	// Resolve is how long after a request's target the server still tries to
 	// determine the outcome of a write whose answer was lost.
 	Resolve time.Duration
@@ -82,6 +86,8 @@
 	// limit.
 	Shares   Shares
 	Observer Observer
+	// ClientMetrics records what callers make the process hold; it may be nil.
+	ClientMetrics clientbudget.Metrics
 }
 
 // Server serves the connections of callers.
@@ -91,6 +97,10 @@
 	confirmer *upstream.Confirmer
 	callers   atomic.Int64
 	nextPID   atomic.Uint32
+	// clientBudget limits what callers make the process hold; nil limits nothing.
+	clientBudget *clientbudget.Budget
+	// lingering counts refused connections that wait for their callers.
+	lingering atomic.Int64
 
 	leaseMu sync.Mutex
 	leases  map[topo.GroupID]*termLease
@@ -147,6 +157,9 @@
 		sessions: map[uint32]*callerSession{},
 		conns:    map[net.Conn]connState{},
 	}
+	if opts.Limits.Memory > 0 {
+		s.clientBudget = clientbudget.New(clientbudget.Options{Memory: opts.Limits.Memory, MaxConns: opts.Limits.Callers, Metrics: opts.ClientMetrics})
+	}
 	s.work, s.abandon = context.WithCancelCause(context.Background())
 	opts.Upstreams.OnExhausted = opts.Shares.DemandChanged
 	s.confirmer = upstream.NewConfirmer(s.observeStatus)
@@ -184,13 +197,18 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.forget(conn)
-	if n := s.callers.Add(1); n > int64(s.opts.Limits.Callers) {
+	account, ok := s.admit(conn)
+	if !ok {
+		return
+	}
+	defer account.Close()
+	if n := s.callers.Add(1); s.clientBudget == nil && n > int64(s.opts.Limits.Callers) {
 		s.callers.Add(-1)
 		s.refuseConn(conn, conn, outcome.Refused(upstream.CodeTooManyConns, "this entry instance has too many callers"))
 		return
 	}
 	defer s.callers.Add(-1)
-	c, err := s.openSession(conn)
+	c, err := s.openSession(conn, account)
 	if err != nil {
 		klog.V(2).Infof("entry: caller %s refused: %v", conn.RemoteAddr(), err)
 		conn.Close()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -12,7 +12,9 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/contain"
+	"github.com/cicadacove/cicadacove/internal/core/clientlimit"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/drain"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
@@ -43,9 +45,14 @@
 	// connection on it.
 	accepted, conn net.Conn
 	backend        *pgproto3.Backend
-	pid            uint32
-	secret         [4]byte
-	user           string
+	// account and reader limit what the caller makes the process hold; both may be nil.
+	account *clientbudget.Account
+	reader  *messageReader
+	// stateBytes are reserved for prepared statements.
+	stateBytes int64
+	pid        uint32
+	secret     [4]byte
+	user       string
 	// callerKey identifies the caller to admission control.
 	callerKey string
 	group     topo.GroupID
@@ -70,6 +77,8 @@
 	// within one, inside a transaction or not.
 	waiting, betweenUnits, inTransaction bool
 	drainStep                            drain.Step
+	// idleDeadline is when an idle transaction ends, zero outside of one.
+	idleDeadline time.Time
 	// running is the id of the request that is being served, or empty.
 	running    string
 	activeConn *upstream.Conn
@@ -99,6 +108,9 @@
 // an error if the caller has sent Terminate.
 func (c *callerSession) nextUnit() (*unit.Unit, error) {
 	u := &unit.Unit{}
+	if c.reader != nil {
+		c.reader.beginUnit()
+	}
 	for {
 		msg, err := c.receive(len(u.Msgs) == 0)
 		if err != nil {
@@ -132,7 +144,14 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if !c.mustEnd(first) {
+		if c.mustEnd(first) {
+			continue
+		}
+		if c.isSlow(first) {
+			c.account.Note(clientlimit.SlowMessage)
+			return nil, errSlowMessage
+		}
+		if first {
 			c.abortTransaction("idle_limit", "the transaction was idle for too long and has been rolled back")
 		}
 	}
@@ -147,11 +166,11 @@
 		return errDraining
 	}
 	c.waiting, c.betweenUnits, c.inTransaction = true, first, c.tx != nil
-	deadline := time.Time{}
+	c.idleDeadline = time.Time{}
 	if first && c.tx != nil {
-		deadline = time.Now().Add(c.server.opts.Limits.IdleTransaction)
+		c.idleDeadline = time.Now().Add(c.server.opts.Limits.IdleTransaction)
 	}
-	return c.conn.SetReadDeadline(deadline)
+	return c.conn.SetReadDeadline(earlier(c.messageDeadline(first), c.idleDeadline))
 }
 
 func (c *callerSession) endWait() {
@@ -174,7 +193,11 @@
 	switch {
 	case errors.Is(err, errDraining):
 		c.server.refuseConn(c.accepted, c.conn, shuttingDown(rolledBack))
+	case errors.Is(err, clientbudget.ErrShort):
+	case errors.Is(err, errSlowMessage):
+		c.server.refuseConn(c.accepted, c.conn, outcome.Refused("08006", err.Error()+rolledBack))
 	case errors.As(err, &tooLong):
+		c.account.Note(clientlimit.TooLong)
 		c.server.refuseConn(c.accepted, c.conn, outcome.Refused("54000", "message: "+err.Error()))
 	case errors.As(err, &unsupported):
 		c.server.refuseConn(c.accepted, c.conn, outcome.Refused(outcome.CodeUnsupported, err.Error()))
@@ -216,9 +239,16 @@
 // caller.
 func (c *callerSession) serve(ctx context.Context, u *unit.Unit) error {
 	arrived := time.Now()
+	c.account.Use()
+	c.account.Enter(clientlimit.Serving)
 	if err := u.Classify(c.prepared); err != nil {
 		return c.refuse(refusalOutcome(err))
 	}
+	if refusal, err := c.reserveStatements(ctx, u); err != nil {
+		return err
+	} else if refusal != "" {
+		return c.refuse(outcome.Refused("54000", refusal))
+	}
 	if c.txState == stateLost {
 		return c.serveRolledBack(u)
 	}
@@ -443,11 +473,3 @@
 func (c *callerSession) write(buf []byte) error {
 	return c.writeWithin(buf, c.server.opts.Limits.CallerWrite)
 }
-
-func (c *callerSession) writeWithin(buf []byte, limit time.Duration) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
-		return err
-	}
-	_, err := c.conn.Write(buf)
-	return err
-}
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"k8s.io/klog/v2"
 
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/statement"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
@@ -38,12 +39,12 @@
 
 // openSession negotiates a session on a new connection. For a cancel request
 // it returns a nil session and no error.
-func (s *Server) openSession(conn net.Conn) (*callerSession, error) {
+func (s *Server) openSession(conn net.Conn, account *clientbudget.Account) (*callerSession, error) {
 	accepted := conn
 	if err := s.beginStartup(accepted); err != nil {
 		return nil, err
 	}
-	conn, backend, msg, err := s.negotiate(conn)
+	conn, reader, backend, msg, err := s.negotiate(conn, account)
 	if s.interruptsStartup(err) {
 		s.refuseConn(accepted, conn, shuttingDown(""))
 	}
@@ -59,7 +60,7 @@
 		return nil, fmt.Errorf("entry: unexpected startup message %T", msg)
 	}
 	c := s.newSession(conn, backend)
-	c.accepted = accepted
+	c.accepted, c.account, c.reader = accepted, account, reader
 	if o, ok := c.start(startup.Parameters); !ok {
 		s.refuseConn(accepted, conn, o)
 		return nil, errors.New(o.Reason)
@@ -68,6 +69,7 @@
 		s.refuseConn(accepted, conn, shuttingDown(""))
 		return nil, errDraining
 	}
+	c.openReader()
 	return c, nil
 }
 
@@ -77,39 +79,47 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) && s.isDraining()
 }
 
+// errReadAhead means that bytes arrived in plain text after a request for encryption.
+var errReadAhead = errors.New("entry: unencrypted data after a request for encryption")
+
 // negotiate answers encryption requests until the startup message arrives.
-func (s *Server) negotiate(conn net.Conn) (net.Conn, *pgproto3.Backend, pgproto3.FrontendMessage, error) {
-	backend := pgproto3.NewBackend(conn, conn)
+func (s *Server) negotiate(conn net.Conn, account *clientbudget.Account) (net.Conn, *messageReader, *pgproto3.Backend, pgproto3.FrontendMessage, error) {
+	reader := newMessageReader(conn, account, maxStartupMessage)
+	backend := pgproto3.NewBackend(reader, conn)
 	for {
 		msg, err := backend.ReceiveStartupMessage()
 		if err != nil {
-			return conn, nil, nil, err
+			return conn, nil, nil, nil, err
 		}
 		switch msg.(type) {
 		case *pgproto3.SSLRequest:
 			if s.opts.TLS == nil {
 				if _, err := conn.Write([]byte{'N'}); err != nil {
-					return conn, nil, nil, err
+					return conn, nil, nil, nil, err
 				}
 				continue
 			}
+			if reader.in.Buffered() > 0 {
+				return conn, nil, nil, nil, errReadAhead
+			}
 			if _, err := conn.Write([]byte{'S'}); err != nil {
-				return conn, nil, nil, err
+				return conn, nil, nil, nil, err
 			}
 			conn = tls.Server(conn, s.opts.TLS)
-			backend = pgproto3.NewBackend(conn, conn)
+			reader = newMessageReader(conn, account, maxStartupMessage)
+			backend = pgproto3.NewBackend(reader, conn)
 		case *pgproto3.GSSEncRequest:
 			if _, err := conn.Write([]byte{'N'}); err != nil {
-				return conn, nil, nil, err
+				return conn, nil, nil, nil, err
 			}
 		default:
-			return conn, backend, msg, nil
+			return conn, reader, backend, msg, nil
 		}
 	}
 }
 
 func (s *Server) newSession(conn net.Conn, backend *pgproto3.Backend) *callerSession {
-	backend.SetMaxBodyLen(s.opts.Limits.MaxMessage)
+	backend.SetMaxBodyLen(maxStartupMessage)
 	c := &callerSession{
 		server:   s,
 		conn:     conn,
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -116,7 +116,7 @@
 		w.access.recordFailure(err)
 		return attempt.NoEffect
 	}
-	ans := &answer{limit: maxWriteAnswer}
+	ans := &answer{account: w.session.account, limit: maxWriteAnswer}
 	a, err := w.access.conn.Receive(ctx, out.Filter(ans.collect))
 	if err != nil {
 		w.access.recordFailure(err)
@@ -199,7 +199,7 @@
 	if err != nil {
 		return result{outcome: refusalOutcome(err)}, upstream.Answer{}, err
 	}
-	ans := &answer{limit: streamThreshold, flush: c.forwardFunc(acc)}
+	ans := &answer{account: c.account, limit: streamThreshold, flush: c.forwardFunc(acc)}
 	before := acc.conn.Point()
 	sentAt := time.Now()
 	if err := acc.conn.Send(1, out.Msgs...); err != nil {
@@ -269,7 +269,7 @@
 		w.result = result{outcome: refusalOutcome(err)}
 		return attempt.Answered
 	}
-	ans := &answer{limit: maxWriteAnswer}
+	ans := &answer{account: w.session.account, limit: maxWriteAnswer}
 	if err := w.access.conn.Send(1, out.Msgs...); err != nil {
 		w.access.recordFailure(err)
 		return attempt.Lost
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,6 +183,7 @@
 		Client: n.client, Peers: n.peers, Signer: session.NewSigner(n.opts.TokenKey),
 		Users: n.opts.Users, TLS: n.opts.TLS, Limits: n.opts.Limits,
 		Routing: n.opts.Routing, Admission: n.opts.Admission, Shares: sh, Observer: n.observer(),
+		ClientMetrics: n.clientMetrics(),
 	})
 }
 
@@ -220,6 +221,9 @@
 		expiry.Run(ctx, n.Agent, n.recordExpiry)
 		return nil
 	})
+	if budget := n.Entry.Budget(); budget != nil {
+		n.group.Go("client budget", budget.Run)
+	}
 	n.group.Go("caller server", func(context.Context) error { return n.Entry.Serve(n.opts.Callers) })
 	n.group.Go("entry", n.Entry.Run)
 	n.group.Go("admin server", func(context.Context) error { return n.serveAdmin() })
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cicadacove/cicadacove/internal/clientbudget"
 	"github.com/cicadacove/cicadacove/internal/control"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
@@ -26,6 +27,14 @@
 	next        entry.Observer
 }
 
+// clientMetrics returns the metrics of the callers' budget, nil without telemetry.
+func (n *Node) clientMetrics() clientbudget.Metrics {
+	if i := n.instruments(); i != nil {
+		return i
+	}
+	return nil
+}
+
 func (n *Node) instruments() *telemetry.Instruments {
 	if n.opts.Telemetry == nil {
 		return nil
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -58,6 +58,7 @@
 	l := entry.DefaultLimits()
 	l.Callers = s.Limits.Callers
 	l.MaxMessage = int(s.Limits.MaxMessage)
+	l.Memory = int64(s.Limits.Memory)
 	l.IdleTransaction = time.Duration(s.Limits.IdleTransaction)
 	return l
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -16,6 +16,10 @@
 // loss of one message does not end the lease.
 const minRenewals = 3
 
+// minMemoryPerMessage is the least ratio of memory and longest message: three copies of one
+// message fit into the part of the memory that callers may fill.
+const minMemoryPerMessage = 12
+
 var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9_.-]{0,62}$`)
 
 // rules returns a validator for the rules in the struct tags.
@@ -50,6 +54,9 @@
 	if s.Detection.FailAfter <= s.Detection.ProbeEvery {
 		add("detection.fail_after", fmt.Sprintf("is %s, must be more than detection.probe_every (%s)", s.Detection.FailAfter, s.Detection.ProbeEvery))
 	}
+	if s.Limits.Memory < minMemoryPerMessage*s.Limits.MaxMessage {
+		add("limits.memory", fmt.Sprintf("is %s, must be at least %d times limits.max_message (%s)", s.Limits.Memory, minMemoryPerMessage, s.Limits.MaxMessage))
+	}
 	if s.Caller.Auth == AuthTrust && !isLoopback(s.Caller.Listen) {
 		add("caller.auth", "trust is allowed only when caller.listen is a loopback address")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,8 +98,9 @@
 
 // Limits bounds the resources that the process uses.
 type Limits struct {
-	Callers         int            `toml:"callers" validate:"min=1,max=1000000" unit:"connections" doc:"Connections of callers at one time; further ones are refused."`
+	Callers         int            `toml:"callers" validate:"min=1,max=1000000" unit:"connections" doc:"Connections of callers at one time, at most three quarters of the descriptors; further ones replace those that rest, or are refused."`
 	MaxMessage      units.Bytes    `toml:"max_message" validate:"min=1024,max=1073741824" unit:"size" doc:"Longest protocol message of a caller or an upstream."`
+	Memory          units.Bytes    `toml:"memory" validate:"min=67108864" unit:"size" doc:"Memory of the machine. Callers may fill three tenths of it; the program aims to stay below seven tenths."`
 	DrainDelay      units.Duration `toml:"drain_delay" validate:"gte=0" unit:"duration" doc:"At a graceful shutdown, the time between readiness going red and the end of new callers: longer than the balancer's check."`
 	ShutdownTimeout units.Duration `toml:"shutdown_timeout" validate:"gt=0" unit:"duration" doc:"Grace period of a graceful shutdown, from the signal. Open transactions have half of it, running statements five sixths."`
 	IdleTransaction units.Duration `toml:"idle_transaction" validate:"gt=0" unit:"duration" doc:"Longest pause of a caller inside a transaction; then it is rolled back."`
@@ -147,6 +148,7 @@
 	return Limits{
 		Callers:         10_000,
 		MaxMessage:      16 * units.MiB,
+		Memory:          512 * units.MiB,
 		DrainDelay:      units.Duration(time.Second),
 		ShutdownTimeout: units.Duration(30 * time.Second),
 		IdleTransaction: units.Duration(10 * time.Second),
