--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -58,6 +58,8 @@
 	fileShare = 0.75
 	// maxWait limits how long a reservation waits. Callers give up after 2 s.
 	maxWait = time.Second
+	// maxLoggedRequest limits the id of a request in a log line, in bytes.
+	maxLoggedRequest = 100
 	// retryInterval is how often a waiting reservation looks for connections to close.
 	retryInterval = 100 * time.Millisecond
 )
@@ -168,6 +170,7 @@
 	since, lastProgress atomic.Int64
 	transferred         atomic.Int64
 	used                atomic.Bool
+	request             atomic.Pointer[string]
 	reason              atomic.Pointer[clientlimit.Reason]
 	held                [kinds]int64 // guarded by budget.mu
 	peak                int64        // guarded by budget.mu
@@ -237,11 +240,23 @@
 	a.state.Store(int32(s))
 }
 
-// Use records that the client has sent a request.
-func (a *Account) Use() {
-	if a != nil {
-		a.used.Store(true)
+// Use records that the client has sent a request. Its id, empty if it has none, is logged
+// if the connection is closed.
+func (a *Account) Use(request string) {
+	if a == nil {
+		return
+	}
+	a.used.Store(true)
+	a.request.Store(&request)
+}
+
+// latestRequest returns the id of the latest request, shortened.
+func (a *Account) latestRequest() string {
+	id := a.request.Load()
+	if id == nil {
+		return ""
 	}
+	return (*id)[:min(len(*id), maxLoggedRequest)]
 }
 
 // Progress records bytes that were read from or written to the client.
@@ -449,7 +464,7 @@
 	}
 	leftOut := b.lines.TakeDropped()[logbudget.Failure]
 	klog.InfoS("client closed", "protocol", a.protocol, "client", a.remote, "reason", string(reason),
-		"state", clientlimit.State(a.state.Load()).String(), "held_bytes_peak", a.peak, "age_ms", now.Sub(a.openedAt).Milliseconds(),
+		"request", a.latestRequest(), "state", clientlimit.State(a.state.Load()).String(), "held_bytes_peak", a.peak, "age_ms", now.Sub(a.openedAt).Milliseconds(),
 		"rest_ms", now.Sub(time.Unix(0, a.lastProgress.Load())).Milliseconds(), "free_bytes", b.free(), "lines_left_out", leftOut)
 }
 
@@ -461,11 +476,11 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
+		b.updateMetrics()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			b.updateMetrics()
 		}
 	}
 }
--- a/internal/clientbudget/clientbudget_test.go
+++ b/internal/clientbudget/clientbudget_test.go
@@ -117,7 +117,7 @@
 	require.NoError(t, a.Reserve(t.Context(), Message, 1<<40))
 	a.Enter(clientlimit.Idle)
 	a.Progress(1)
-	a.Use()
+	a.Use("r1")
 	a.Note(clientlimit.Short)
 	a.ReleaseAll(Message)
 	a.Close()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -239,7 +239,7 @@
 // caller.
 func (c *callerSession) serve(ctx context.Context, u *unit.Unit) error {
 	arrived := time.Now()
-	c.account.Use()
+	c.account.Use("")
 	c.account.Enter(clientlimit.Serving)
 	if err := u.Classify(c.prepared); err != nil {
 		return c.refuse(refusalOutcome(err))
@@ -260,6 +260,7 @@
 		return c.refuse(o)
 	}
 	c.server.groups.Get(c.group).RecordUse(arrived)
+	c.account.Use(req.id)
 	c.setRunning(req.id)
 	defer c.setRunning("")
 	r, err := c.serveRequest(ctx, req)
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -85,7 +85,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		account := clientbudget.FromContext(r.Context())
-		account.Use()
+		account.Use("")
 		if r.ContentLength == 0 {
 			account.Enter(clientlimit.Serving)
 		}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -31,6 +31,8 @@
 	i.Member("learner", 1500*time.Millisecond)
 	i.Voters(5, 4, 5)
 	i.ControlBytes(100)
+	i.ClientBytes("message", 300)
+	i.ClientClosed("platform", "stalled")
 }
 
 func TestMetricsInPrometheusFormat(t *testing.T) {
@@ -66,6 +68,8 @@
 		`cicadacove_control_voters{state="listed"} 5`,
 		`cicadacove_control_voters{state="active"} 4`,
 		`cicadacove_control_bytes_total 100`,
+		`cicadacove_clients_held_bytes{kind="message"} 300`,
+		`cicadacove_clients_closed_total{protocol="platform",reason="stalled"} 1`,
 	} {
 		require.Contains(t, w.Body.String(), line+"\n")
 	}
