clientbudget: look for connections to close at most every 20 ms

Each connection beyond the limit made the budget look through all connections under its lock, so a flood of new ones cost the product of both. It now closes up to 32 connections that have sent nothing or stall with one look, and refuses without a look for 20 ms after.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -103,6 +103,10 @@
 	held     [kinds]int64
 	accounts map[uint64]*Account
 	nextID   uint64
+	// closing counts the accounts whose connections are being closed.
+	closing int
+	// nextRoom is when connections may be closed for new ones again.
+	nextRoom time.Time
 	// waiters are the reservations that wait for memory, the oldest first.
 	waiters []*waiter
 	lines   *logbudget.Budget
@@ -187,7 +191,7 @@
 	a.Enter(clientlimit.Starting)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.accounts) >= b.maxConnections && !b.makeRoom() {
+	if b.open() >= b.maxConnections && !b.makeRoom() {
 		b.report(a, clientlimit.TooMany)
 		return nil, false
 	}
@@ -197,13 +201,24 @@
 	return a, true
 }
 
-// makeRoom closes a connection for another one. It must be called with the lock held.
+// open returns the number of connections that aren't being closed.
+func (b *Budget) open() int { return len(b.accounts) - b.closing }
+
+// roomInterval is the time between two looks for connections that can be closed for new
+// ones. A look costs time for each connection, and a flood of new ones must not multiply it.
+const roomInterval = 20 * time.Millisecond
+
+// makeRoom closes connections for new ones. It must be called with the lock held.
 func (b *Budget) makeRoom() bool {
-	closing, ok := clientlimit.ForConnection(b.snapshot(), b.opts.Rate, time.Now())
-	if ok {
-		b.closeLocked(b.accounts[closing.ID], closing.Reason)
+	now := time.Now()
+	if now.Before(b.nextRoom) {
+		return false
+	}
+	b.nextRoom = now.Add(roomInterval)
+	for _, c := range clientlimit.ForConnections(b.snapshot(), b.opts.Rate, now) {
+		b.closeLocked(b.accounts[c.ID], c.Reason)
 	}
-	return ok
+	return b.open() < b.maxConnections
 }
 
 // snapshot describes the connections that aren't being closed.
@@ -372,6 +387,9 @@
 		return
 	}
 	a.closing = true
+	if !a.ended {
+		b.closing++
+	}
 	a.Note(reason)
 	a.close()
 }
@@ -446,6 +464,9 @@
 		a.release(kind, a.held[kind])
 	}
 	delete(b.accounts, a.id)
+	if a.closing {
+		b.closing--
+	}
 	b.grant()
 	if reason := a.reason.Load(); reason != nil {
 		b.report(a, *reason)
--- a/internal/clientbudget/clientbudget_test.go
+++ b/internal/clientbudget/clientbudget_test.go
@@ -173,4 +173,5 @@
 	wg.Wait()
 	requireEmpty(t, b)
 	require.Empty(t, b.accounts)
+	require.Zero(t, b.closing)
 }
--- a/internal/core/clientlimit/clientlimit.go
+++ b/internal/core/clientlimit/clientlimit.go
@@ -161,29 +161,33 @@
 	return b
 }
 
-// ForConnection returns the connection to close so that another one can be accepted: the
-// oldest that has sent nothing, else one that stalls within a message or an answer, else
-// the oldest session that was never used, else the one that has been idle for longest. ok
-// is false if there is none.
-func ForConnection(conns []Conn, rate Rate, now time.Time) (closing Closing, ok bool) {
+// maxForConnections limits the connections that make no progress and are closed at once.
+const maxForConnections = 32
+
+// ForConnections returns connections to close so that others can be accepted, in this
+// order: those that have sent nothing, those that stall within a message or an answer, the
+// oldest session that was never used, the one that has been idle for longest. Of the first
+// two kinds it returns several, so that a flood of them is cleared by few calls.
+func ForConnections(conns []Conn, rate Rate, now time.Time) []Closing {
 	for _, class := range []struct {
 		reason  Reason
+		most    int
 		matches func(Conn) bool
 	}{
-		{NotStarted, func(c Conn) bool { return c.State == Starting && now.Sub(c.Since) >= startLimit }},
-		{Stalled, func(c Conn) bool { return c.stalled(rate, now) }},
-		{Unused, func(c Conn) bool { return c.State == Idle && !c.Used && now.Sub(c.Since) >= startLimit }},
-		{LongIdle, func(c Conn) bool { return c.State == Idle && now.Sub(c.Since) >= idleLimit }},
+		{NotStarted, maxForConnections, func(c Conn) bool { return c.State == Starting && now.Sub(c.Since) >= startLimit }},
+		{Stalled, maxForConnections, func(c Conn) bool { return c.stalled(rate, now) }},
+		{Unused, 1, func(c Conn) bool { return c.State == Idle && !c.Used && now.Sub(c.Since) >= startLimit }},
+		{LongIdle, 1, func(c Conn) bool { return c.State == Idle && now.Sub(c.Since) >= idleLimit }},
 	} {
-		var oldest *Conn
-		for i, c := range conns {
-			if class.matches(c) && (oldest == nil || c.Since.Before(oldest.Since)) {
-				oldest = &conns[i]
-			}
+		candidates := slices.DeleteFunc(slices.Clone(conns), func(c Conn) bool { return !class.matches(c) })
+		slices.SortFunc(candidates, func(a, b Conn) int { return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.ID, b.ID)) })
+		var closings []Closing
+		for _, c := range candidates[:min(len(candidates), class.most)] {
+			closings = append(closings, Closing{c.ID, class.reason})
 		}
-		if oldest != nil {
-			return Closing{oldest.ID, class.reason}, true
+		if len(closings) > 0 {
+			return closings
 		}
 	}
-	return Closing{}, false
+	return nil
 }
--- a/internal/core/clientlimit/clientlimit_test.go
+++ b/internal/core/clientlimit/clientlimit_test.go
@@ -45,30 +45,19 @@
 	require.Empty(t, ForMemory([]Conn{resting(1, Idle, minIdleHeld-1)}, mib, rate, start.Add(time.Hour)))
 }
 
-func TestForConnection(t *testing.T) {
+// Guards against closing a session in use, or one that has just begun, for a new connection.
+func TestForConnections(t *testing.T) {
 	now := start.Add(startLimit)
-	used, young := resting(1, Idle, 0), resting(2, Starting, 0)
+	used, young, fast := resting(1, Idle, 0), resting(2, Starting, 0), resting(3, Receiving, 0)
 	used.Used, young.Since = true, now
-	fast := resting(3, Receiving, 0)
 	fast.LastProgress, fast.Transferred = now, mib
-	_, ok := ForConnection([]Conn{used, young, fast, resting(7, Serving, 0)}, rate, now)
-	require.False(t, ok)
-	c, ok := ForConnection([]Conn{used, fast, resting(8, Receiving, 0), resting(4, Idle, 0)}, rate, now)
-	require.True(t, ok)
-	require.Equal(t, Closing{8, Stalled}, c)
+	require.Empty(t, ForConnections([]Conn{used, young, fast, resting(7, Serving, 0)}, rate, now))
 	older := resting(5, Idle, 0)
 	older.Since = start.Add(-time.Second)
-	c, ok = ForConnection([]Conn{used, resting(4, Idle, 0), older}, rate, now)
-	require.True(t, ok)
-	require.Equal(t, Closing{5, Unused}, c)
-	c, _ = ForConnection([]Conn{older, resting(6, Starting, 0)}, rate, now)
-	require.Equal(t, Closing{6, NotStarted}, c)
-	c, ok = ForConnection([]Conn{used, young}, rate, start.Add(idleLimit))
-	require.True(t, ok)
-	require.Equal(t, Closing{2, NotStarted}, c)
-	c, ok = ForConnection([]Conn{used}, rate, start.Add(idleLimit))
-	require.True(t, ok)
-	require.Equal(t, Closing{1, LongIdle}, c)
+	require.Equal(t, []Closing{{8, Stalled}}, ForConnections([]Conn{used, fast, resting(8, Receiving, 0), older}, rate, now))
+	require.Equal(t, []Closing{{5, Unused}}, ForConnections([]Conn{used, resting(4, Idle, 0), older}, rate, now))
+	require.Equal(t, []Closing{{6, NotStarted}, {9, NotStarted}}, ForConnections([]Conn{older, resting(9, Starting, 0), resting(6, Starting, 0)}, rate, now))
+	require.Equal(t, []Closing{{1, LongIdle}}, ForConnections([]Conn{used}, rate, start.Add(idleLimit)))
 }
 
 func TestDeadlineGrowsWithTheBytes(t *testing.T) {
