engine, peer: faults of statements that are relayed

A position query without a reachable holder kept a slot and a connection. A set-up statement that an upstream refused at a holder counted as a lost answer: the write was reported as unknown, the holder was avoided and the circuit opened. A request that ended before it was sent made all holders count as unreachable. A transaction whose first statement was retried was counted twice for the rate limit. Sessions of different instances with the same number shared a turn at a holder. A gate kept the slots of a holder after relaying had ended. A link that does not deliver now discards its requests, so that they do not run after a partition.

The tests of the relay read the fake database under its lock, and wait for a write that runs after its answer was lost; the race detector reported both.

--- a/internal/engine/authorize_test.go
+++ b/internal/engine/authorize_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
 // keyedCatalog has a route that needs a key and a public one.
@@ -86,3 +88,37 @@
 	require.Equal(t, outcome.Done, c.write("w2").Outcome.Kind)
 	require.NotEqual(t, first, db.lastRun("w2").conn, "organisations share no connection")
 }
+
+// countingQuota admits all operations and counts them.
+type countingQuota struct{ taken int }
+
+func (q *countingQuota) Take(context.Context, string) (time.Duration, bool) {
+	q.taken++
+	return 0, true
+}
+
+// Guards against a transaction that is counted twice for the rate limit since its first
+// statement was retried inside the instance.
+func TestRetriedTransactionIsCountedOnce(t *testing.T) {
+	db := newFakeGroup()
+	e := newEngine(db)
+	quota := &countingQuota{}
+	e.opts.Quota = quota
+	c := keyedCatalog(t, map[string]string{"k": "north"})
+	e.opts.Catalog = func() *catalog.Catalog { return c }
+	caller := openWith(t, e, "strict", "k")
+	refuse := true
+	db.fail = func(_ topo.UpstreamID, st Statement) failure {
+		if st.Verb == Write && refuse {
+			refuse = false
+			return busy
+		}
+		return none
+	}
+	caller.begin(false)
+	for _, item := range []string{"first", "second"} {
+		require.Equal(t, outcome.Done, caller.write(item).Outcome.Kind)
+	}
+	require.Equal(t, outcome.Done, caller.commit().Outcome.Kind)
+	require.Equal(t, 1, quota.taken)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,6 +62,9 @@
 	relays    relays
 	held      *relayHolder[C]
 	relayName string
+	// slotsSet holds the upstreams whose gates have the slots of a relay plan. Only maintain
+	// uses it.
+	slotsSet map[topo.UpstreamID]bool
 }
 
 // New returns an Engine with the given options.
@@ -72,6 +75,7 @@
 	e := &Engine[C]{opts: opts, groups: groupstate.New(admission.Ranked, fullShares{}), retries: retryBudget{budget: retry.NewBudget()}}
 	e.pools = connpool.NewSet(e.openPooledConn, e.connectionShare)
 	e.held = newRelayHolder(e)
+	e.slotsSet = map[topo.UpstreamID]bool{}
 	e.relayName = string(opts.Self) + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	e.handlePeers()
 	return e
@@ -211,16 +215,35 @@
 	return pool.IdleTimeout(limit)
 }
 
-// setSlots limits the statements that a holder of an upstream runs there at once.
+// announced returns the latest announcement of an upstream. The one with which its pool was
+// created may be older.
+func (e *Engine[C]) announced(a topo.Announcement) (topo.Announcement, bool) {
+	if known, ok := e.knownUpstream(a.ID); ok {
+		return known, true
+	}
+	for _, u := range e.opts.Control.Upstreams(a.Group) {
+		if u.ID == a.ID {
+			return u.Announcement, true
+		}
+	}
+	return topo.Announcement{}, false
+}
+
+// setSlots limits the statements that a holder of an upstream runs there at once, and ends
+// the limit when statements for the upstream are not relayed any more.
 func (e *Engine[C]) setSlots(gt *gate.Gate, a topo.Announcement) {
 	set, relayed := e.holdersOf(a.ID)
-	if !relayed {
+	if !relayed && !e.slotsSet[a.ID] {
 		return
 	}
+	if known, ok := e.announced(a); ok {
+		a = known
+	}
 	slots := max(a.Slots, 1)
-	if set.holdsSelf {
+	if relayed && set.holdsSelf {
 		slots = set.slots
 	}
+	e.slotsSet[a.ID] = relayed
 	if gt.Load().Slots != slots {
 		gt.SetSlots(slots)
 	}
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -45,6 +45,8 @@
 	runs     []run
 	// committed counts the commits of each statement text.
 	committed map[string]int
+	// committedAt is the position at which the text was last committed.
+	committedAt map[string]topo.Position
 	// fail selects the fault to inject for each statement.
 	fail func(upstream topo.UpstreamID, st Statement) failure
 	// changed is closed when the lease changes.
@@ -75,7 +77,7 @@
 	return &fakeGroup{
 		primary: "a", term: 3, leased: true, position: 10,
 		applied:   map[topo.UpstreamID]topo.Position{"a": 10, "b": 10, "c": 10},
-		committed: map[string]int{}, changed: make(chan struct{}),
+		committed: map[string]int{}, committedAt: map[string]topo.Position{}, changed: make(chan struct{}),
 	}
 }
 
@@ -232,6 +234,7 @@
 	c.db.applied[c.db.primary] = c.db.position
 	for _, text := range texts {
 		c.db.committed[text]++
+		c.db.committedAt[text] = c.db.position
 	}
 }
 
@@ -357,6 +360,20 @@
 func (c *client) commit() Reply   { return c.do(Statement{Verb: Commit, Text: "COMMIT"}) }
 func (c *client) rollback() Reply { return c.do(Statement{Verb: Rollback}) }
 
+// commits returns how often the text was committed, and the position of the latest time.
+func (db *fakeGroup) commits(text string) (n int, at topo.Position) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return db.committed[text], db.committedAt[text]
+}
+
+// runCount returns the number of statements that have run.
+func (db *fakeGroup) runCount() int {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return len(db.runs)
+}
+
 // lastRun returns the latest run whose text contains the part.
 func (db *fakeGroup) lastRun(part string) run {
 	db.mu.Lock()
--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -87,7 +87,7 @@
 }
 
 func (m *machine) read(t *rapid.T, s *randomSession) {
-	item := fmt.Sprint("r", len(m.db.runs))
+	item := fmt.Sprint("r", m.db.runCount())
 	r := s.read(item)
 	if r.Outcome.Kind == outcome.Done {
 		ran := m.db.lastRun("READ " + item)
@@ -112,7 +112,7 @@
 		m.reported[text] = outcome.NotRun
 	}
 	if r.Outcome.Kind == outcome.Done {
-		s.last = m.db.position
+		_, s.last = m.db.commits(text)
 	}
 	m.failed(s, r)
 }
@@ -140,7 +140,7 @@
 		m.reported[text] = r.Outcome.Kind
 	}
 	if r.Outcome.Kind == outcome.Done && len(s.pending) > 0 {
-		s.last = m.db.position
+		_, s.last = m.db.commits(s.pending[0])
 	}
 	s.inTx, s.pending = false, nil
 }
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -90,6 +90,9 @@
 // executeLocally runs the statement on a connection of this instance, since no holder can
 // be reached.
 func (a *relayAccess[C]) executeLocally(ctx context.Context, state connState, st Statement) (Result, error) {
+	if st.Verb == Reset {
+		return a.engine.resetLocally(ctx, a.upstream) // needs no slot
+	}
 	a.tx = nil
 	a.local = a.engine.newLocalAccess(a.upstream, a.term, a.request)
 	o, err := a.local.open(ctx, a.request)
@@ -112,6 +115,10 @@
 	var notSent *peer.NotSentError
 	var remote *peer.RemoteError
 	switch {
+	case errors.As(err, &notSent) && ctx.Err() != nil:
+		// The end of ctx says nothing about the holder, unless it was silent for long.
+		relays.record(holder.ID, (*relay.Health).Lost)
+		return Result{}, true, &NotRunError{Outcome: outcome.Refused(outcome.CodeTimeout, "the request ended before it was sent to an instance that holds connections")}
 	case errors.As(err, &notSent), errors.As(err, &remote):
 		relays.record(holder.ID, (*relay.Health).Unreachable)
 		return Result{}, false, &NotRunError{Outcome: outcome.Refused(outcome.CodeNoUpstream, "no instance that holds connections can be reached: "+err.Error())}
@@ -169,11 +176,20 @@
 		Upstream: relayUpstream{a.upstream.ID, a.upstream.Group, a.upstream.Addr, a.upstream.Slots},
 		Term:     a.term, Organisation: r.organisation,
 		Service: r.service.Name, Rank: r.service.Rank, Target: r.service.Target,
-		Caller: r.caller, Waited: time.Since(r.arrived), Left: left,
+		Caller: callerAt(a.engine.opts.Self, r), Waited: time.Since(r.arrived), Left: left,
 		Tx: a.tx, Values: state.values, Definition: state.def, Statement: st,
 	}
 }
 
+// callerAt returns the name under which a holder queues the caller. Instances count their
+// sessions independently; an organisation has the same name everywhere.
+func callerAt(self topo.InstanceID, r request) string {
+	if r.organisation != "" {
+		return r.caller
+	}
+	return string(self) + "/" + r.caller
+}
+
 // via implements access.
 func (a *relayAccess[C]) via() topo.InstanceID {
 	if a.local != nil {
--- a/internal/engine/relay_holder.go
+++ b/internal/engine/relay_holder.go
@@ -129,6 +129,10 @@
 	defer a.releaseSlot()
 	sentAt := clock.Now()
 	result, err := a.execute(ctx, connState{req.Values, req.Definition}, req.Statement)
+	var setUp *SetUpError
+	if errors.As(err, &setUp) {
+		return relayReply{Refusal: newRelayRefusal(outcome.Refused(outcome.CodeNoUpstream, err.Error()))}
+	}
 	if err != nil {
 		return relayReply{Lost: &relayLoss{Reason: err.Error(), Timeout: isTimeout(err)}}
 	}
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -128,7 +128,7 @@
 func TestAnswerLostBetweenInstancesIsUnknown(t *testing.T) {
 	for _, inTx := range []bool{false, true} {
 		f := newRelayFleet(t)
-		sender := f.sender()
+		sender, holder := f.sender(), f.holder(0)
 		c := open(t, sender.Engine, "strict")
 		f.db.fail = func(_ topo.UpstreamID, st Statement) failure {
 			if st.Text == "WRITE lost" {
@@ -143,12 +143,16 @@
 		if inTx {
 			require.Equal(t, outcome.CodeRolledBack, r.Outcome.Code, "COMMIT was not sent")
 			require.Equal(t, outcome.CodeRolledBack, c.commit().Outcome.Code)
-			require.Eventually(t, func() bool { return f.holder(0).Relayed() == 0 }, time.Second, time.Millisecond, "the holder rolls back")
-			require.Zero(t, f.db.committed["WRITE lost"])
+			require.Eventually(t, func() bool { return holder.Relayed() == 0 }, time.Second, time.Millisecond, "the holder rolls back")
+			n, _ := f.db.commits("WRITE lost")
+			require.Zero(t, n)
 			continue
 		}
 		require.Equal(t, outcome.Unknown, r.Outcome.Kind)
-		require.Equal(t, 1, f.db.committed["WRITE lost"])
+		require.Eventually(t, func() bool { n, _ := f.db.commits("WRITE lost"); return n == 1 }, time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return holder.Relayed() == 0 }, time.Second, time.Millisecond)
+		n, _ := f.db.commits("WRITE lost")
+		require.Equal(t, 1, n, "the write is not sent again")
 	}
 }
 
@@ -198,6 +202,91 @@
 	require.EqualValues(t, 1, sender.opened.Load())
 }
 
+// Guards against slots and connections that stay taken by queries for a position while no
+// holder is reachable.
+func TestPositionQueriesWithoutHoldersKeepNothing(t *testing.T) {
+	f := newRelayFleet(t)
+	sender := f.sender()
+	for _, i := range f.instances {
+		if i != sender {
+			require.NoError(t, i.server.Close())
+		}
+	}
+	for range 3 {
+		require.NoError(t, sender.samplePrimary(t.Context(), group))
+		require.EqualValues(t, 1, sender.pools.Stats(f.db.primary).Idle)
+	}
+	require.EqualValues(t, 1, sender.opened.Load())
+}
+
+// Guards against a refused session value that is taken for a lost answer: the statement is
+// not sent, and the upstream responds.
+func TestRefusedSetUpAtAHolderIsNotRun(t *testing.T) {
+	f := newRelayFleet(t)
+	sender := f.sender()
+	c := open(t, sender.Engine, "strict")
+	f.db.fail = func(_ topo.UpstreamID, st Statement) failure {
+		if st.Verb == Set {
+			return busy
+		}
+		return none
+	}
+	c.do(Statement{Verb: Set, Name: "tz", Value: "UTC"})
+	candidates := len(sender.relayCandidates(f.db.primary, ""))
+	for range 4 {
+		r := c.write("w")
+		require.Equal(t, outcome.NotRun, r.Outcome.Kind, r.Outcome.Reason)
+	}
+	c.begin(false)
+	require.Equal(t, outcome.NotRun, c.write("w").Outcome.Kind)
+	require.Len(t, sender.relayCandidates(f.db.primary, ""), candidates, "the holder is not avoided")
+	member, _ := sender.pools.Lookup(f.db.primary)
+	require.True(t, member.Available(time.Now()), "the circuit stays closed")
+	n, _ := f.db.commits("WRITE w")
+	require.Zero(t, n)
+}
+
+// Guards against a caller whose deadline has passed and who makes all holders count as
+// unreachable.
+func TestPassedDeadlineDoesNotBlameHolders(t *testing.T) {
+	f := newRelayFleet(t)
+	sender := f.sender()
+	candidates := len(sender.relayCandidates(f.db.primary, ""))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	at := placement{upstream: f.db.announcement(f.db.primary), term: 3}
+	a := sender.newAccess(at, request{arrived: time.Now()})
+	defer a.close()
+	_, err := a.execute(ended, connState{}, Statement{Verb: Write, Text: "WRITE late"})
+	require.Error(t, err)
+	require.Len(t, sender.relayCandidates(f.db.primary, ""), candidates)
+	n, _ := f.db.commits("WRITE late")
+	require.Zero(t, n)
+}
+
+// Guards against a former holder that keeps the slots of a holder once statements are not
+// relayed any more.
+func TestSlotsAreRestoredWhenRelayingEnds(t *testing.T) {
+	f := newRelayFleet(t)
+	holder := f.holder(0)
+	a := f.db.announcement(f.db.primary)
+	gt := holder.groups.Get(group).Gate(a)
+	holder.pools.Get(a)
+	holder.relays.plan.holders[a.ID] = holderSet{holdsSelf: true, members: holder.opts.Peers.Members(), connections: 1, slots: 1}
+	holder.maintain(t.Context())
+	require.Equal(t, 1, gt.Load().Slots)
+	holder.relays.plan.holders = nil
+	holder.maintain(t.Context())
+	require.Equal(t, a.Slots, gt.Load().Slots)
+}
+
+// Guards against sessions of different instances that share a turn at a holder.
+func TestCallersOfDifferentInstancesDiffer(t *testing.T) {
+	session, other := request{caller: "1"}, request{caller: "north", organisation: "north"}
+	require.NotEqual(t, callerAt("entry-1", session), callerAt("entry-2", session))
+	require.Equal(t, callerAt("entry-1", other), callerAt("entry-2", other))
+}
+
 // TestRandomSessionsThroughHolders checks the guarantees of TestRandomSessions while
 // upstreams fail statements and connections between instances break.
 func TestRandomSessionsThroughHolders(t *testing.T) {
--- a/internal/engine/relay_wire.go
+++ b/internal/engine/relay_wire.go
@@ -63,7 +63,7 @@
 // relayReply is the result of a relayed statement. Exactly one of Refusal, Lost and
 // Result is set.
 type relayReply struct {
-	// Refusal means that nothing was sent to the upstream.
+	// Refusal means that the statement was not sent to the upstream.
 	Refusal *relayRefusal `msgpack:"f,omitempty"`
 	// Lost means that the statement was sent and its answer did not arrive.
 	Lost *relayLoss `msgpack:"l,omitempty"`
@@ -72,7 +72,7 @@
 	Took   time.Duration `msgpack:"t,omitempty"`
 }
 
-// relayRefusal says why a holder sent nothing to the upstream.
+// relayRefusal says why a holder did not send a statement to the upstream.
 type relayRefusal struct {
 	Code       string        `msgpack:"c"`
 	Reason     string        `msgpack:"r"`
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -111,7 +111,7 @@
 		if !tx.refusedBusy || !s.engine.retryBusy(ctx, w, attempt) {
 			return r
 		}
-		s.tx, s.failed = &transaction[C]{route: tx.route, organisation: tx.organisation, readOnly: tx.readOnly}, false
+		s.tx, s.failed = &transaction[C]{route: tx.route, organisation: tx.organisation, readOnly: tx.readOnly, counted: tx.counted}, false
 		tx = s.tx
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"k8s.io/klog/v2"
 
 	"github.com/cicadacove/cicadacove/internal/codec"
 )
@@ -184,7 +185,7 @@
 func (l *link) send(opts Options, f *Frame) error {
 	opts.stamp(f)
 	if err := l.writer.write(f); err != nil {
-		l.fail()
+		l.abort()
 		return ErrClosed
 	}
 	l.mu.Lock()
@@ -206,7 +207,7 @@
 		case <-ticker.C:
 		}
 		if l.hasUnanswered() && !l.ping(opts) {
-			l.fail()
+			l.abort()
 			return
 		}
 	}
@@ -270,6 +271,19 @@
 	return l.closed
 }
 
+// abort closes a link that does not deliver. It discards requests that were not delivered,
+// so that they do not run after their senders have given them up.
+func (l *link) abort() {
+	l.mu.Lock()
+	if tcp, ok := l.conn.(interface{ SetLinger(sec int) error }); ok && !l.closed {
+		if err := tcp.SetLinger(0); err != nil {
+			klog.V(2).Infof("peer: could not reset the connection to %s: %v", l.conn.RemoteAddr(), err)
+		}
+	}
+	l.mu.Unlock()
+	l.fail()
+}
+
 func (l *link) fail() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
