core/pool: a refused connection takes the place of an idle one of another key

While an upstream had too many connections, a request of one organisation waited and was refused again, although idle connections of others could be closed.

--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -183,17 +183,26 @@
 const openBackoff = 200 * time.Millisecond
 
 // OpenRefused records that the upstream refused a connection because it has too
-// many. The waiters keep waiting for existing connections; if there are none, one
-// waiter fails.
+// many. The waiters keep waiting for existing connections, and one that is idle with
+// another key makes room; if there are none, one waiter fails.
 func (p *Pool) OpenRefused(k Key, now time.Time) []Action {
 	p.backingOff, p.backoffUntil = true, now.Add(openBackoff)
 	if p.open() > 1 {
 		p.endOpen(k)
-		return nil
+		return p.makeRoom(k)
 	}
 	return p.OpenFailed(k)
 }
 
+// makeRoom closes the connection that is idle longest if a request with the key waits. Idle
+// connections then have other keys, and the upstream has no room for one more.
+func (p *Pool) makeRoom(k Key) []Action {
+	if len(p.idle) == 0 || !slices.ContainsFunc(p.waiters, func(w waiter) bool { return w.key == k }) {
+		return nil
+	}
+	return []Action{p.dropOldest()}
+}
+
 // DropIdleSince closes the connections that have been idle since before the given
 // time. A statement sent at that time got no answer, and these connections may be
 // broken like the one that carried it.
--- a/internal/core/pool/refusal_test.go
+++ b/internal/core/pool/refusal_test.go
@@ -46,3 +46,18 @@
 	require.Equal(t, []Action{Close{7}}, p.DropIdleSince(now.Add(time.Second)))
 	require.Equal(t, 1, p.Stats().Idle)
 }
+
+// Guards against a request that is refused again and again, while this instance keeps idle
+// connections of other organisations at an upstream that has no room for another one.
+func TestRefusedConnectionTakesThePlaceOfAnIdleOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	north, south := Key{Organisation: "north"}, Key{Organisation: "south"}
+	p := New(3)
+	p.Acquire(1, north)
+	p.Opened(7, north, now)
+	p.Release(7, true, now)
+	actions, _ := p.Acquire(2, south)
+	require.Equal(t, []Action{Open{south}}, actions)
+	require.Equal(t, []Action{Close{7}}, p.OpenRefused(south, now))
+	require.Equal(t, []Action{Open{south}}, p.Retry(now.Add(openBackoff)))
+}
