engine: a holder drops waiting statements of a sender that is gone

A holder that was suspended, or whose queue was long, ran statements although the connection to their sender had closed and the sender had given them up.

--- a/internal/engine/relay_holder.go
+++ b/internal/engine/relay_holder.go
@@ -62,11 +62,10 @@
 	return relayReply{Lost: &relayLoss{Reason: "an unexpected error occurred in the instance that holds the connection"}}, nil
 }
 
-// serve serves one relayed statement. Its context does not end with the connection to
-// the sender: a statement that has begun is finished, and the connection to the upstream
-// stays usable.
+// serve serves one relayed statement. A statement that waits is dropped when the connection
+// to the sender closes, since the sender has given it up.
 func (h *relayHolder[C]) serve(ctx context.Context, req relayRequest) relayReply {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), req.Left)
+	ctx, cancel := context.WithTimeout(ctx, req.Left)
 	defer cancel()
 	switch {
 	case req.Tx != nil && req.Statement.Verb == Begin:
@@ -127,6 +126,11 @@
 		return relayReply{Refusal: refusal}
 	}
 	defer a.releaseSlot()
+	if ctx.Err() != nil {
+		return relayReply{Refusal: newRelayRefusal(outcome.Refused(outcome.CodeTimeout, "the sender has given the statement up"))}
+	}
+	ctx, cancel := untilDeadline(ctx)
+	defer cancel()
 	sentAt := clock.Now()
 	result, err := a.execute(ctx, connState{req.Values, req.Definition}, req.Statement)
 	var setUp *SetUpError
@@ -139,6 +143,17 @@
 	return relayReply{Result: &result, Took: clock.Now().Sub(sentAt)}
 }
 
+// untilDeadline returns a context with the deadline of ctx that does not end with the
+// connection to the sender: a statement that has been sent to the upstream is finished, and
+// the connection to the upstream stays usable.
+func untilDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(context.WithoutCancel(ctx))
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
 // unavailableRefusal describes an upstream that can't be used now.
 func unavailableRefusal(err error) *relayRefusal {
 	r := newRelayRefusal(unavailable(err))
@@ -149,6 +164,8 @@
 
 // reset answers a query for the position of an upstream.
 func (h *relayHolder[C]) reset(ctx context.Context, req relayRequest) relayReply {
+	ctx, cancel := untilDeadline(ctx)
+	defer cancel()
 	sentAt := clock.Now()
 	result, err := h.engine.resetLocally(ctx, h.announced(req.Upstream))
 	if err != nil {
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -287,6 +287,26 @@
 	require.Equal(t, callerAt("entry-1", other), callerAt("entry-2", other))
 }
 
+// Guards against statements that a holder runs although the connection to their sender has
+// closed, for example after the holder was suspended: the sender has given them up.
+func TestHolderDropsStatementsOfALostSender(t *testing.T) {
+	f := newRelayFleet(t)
+	sender, holder := f.sender(), f.holder(0)
+	at := placement{upstream: f.db.announcement(f.db.primary), term: 3}
+	a := sender.newAccess(at, request{arrived: time.Now()}).(*relayAccess[*fakeConn])
+	defer a.close()
+	a.request = request{service: sender.opts.Catalog().Routes["strict"].Service, arrived: time.Now()}
+	req := a.newRequest(t.Context(), connState{}, Statement{Verb: Write, Text: "WRITE late"})
+	lost, cancel := context.WithCancel(t.Context())
+	cancel()
+	reply, err := holder.held.handle(lost, req)
+	require.NoError(t, err)
+	require.NotNil(t, reply.Refusal)
+	n, _ := f.db.commits("WRITE late")
+	require.Zero(t, n)
+	require.Zero(t, holder.Relayed())
+}
+
 // TestRandomSessionsThroughHolders checks the guarantees of TestRandomSessions while
 // upstreams fail statements and connections between instances break.
 func TestRandomSessionsThroughHolders(t *testing.T) {
