clientbudget: waits for memory end with their connection

Cause: a reservation that still waited when its account was closed was granted later and never released. Change: Close fails the reservations that wait for the account. Result: the new test fails before and passes now.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -116,8 +117,10 @@
 	account *Account
 	kind    Kind
 	bytes   int64
-	// granted is closed once the bytes are reserved.
-	granted chan struct{}
+	// decided is closed once the bytes are reserved, or once the account has ended; err is
+	// ErrShort then.
+	decided chan struct{}
+	err     error // set before decided is closed
 }
 
 // New returns a budget. It takes the limit of descriptors from the process.
@@ -305,8 +308,8 @@
 	defer retry.Stop()
 	for {
 		select {
-		case <-w.granted:
-			return nil
+		case <-w.decided:
+			return w.err
 		case <-retry.C:
 			if a.budget.closeFor(w) {
 				continue
@@ -317,7 +320,7 @@
 		if a.budget.withdraw(w) {
 			return ErrShort
 		}
-		return nil // granted meanwhile
+		return w.err // decided meanwhile
 	}
 }
 
@@ -333,7 +336,7 @@
 		b.add(a, kind, bytes)
 		return nil, nil
 	}
-	w := &waiter{a, kind, bytes, make(chan struct{})}
+	w := &waiter{account: a, kind: kind, bytes: bytes, decided: make(chan struct{})}
 	b.waiters = append(b.waiters, w)
 	b.closeForLocked(w)
 	return w, nil
@@ -395,7 +398,7 @@
 }
 
 // withdraw removes a waiter and closes its connection. It returns false if the waiter has
-// been granted.
+// been decided.
 func (b *Budget) withdraw(w *waiter) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -416,7 +419,7 @@
 		w := b.waiters[0]
 		b.waiters = b.waiters[1:]
 		b.add(w.account, w.kind, w.bytes)
-		close(w.granted)
+		close(w.decided)
 	}
 }
 
@@ -447,6 +450,19 @@
 	}
 }
 
+// dropWaiters fails the reservations that wait for an account. What they were granted after
+// its end would never be released.
+func (b *Budget) dropWaiters(a *Account) {
+	b.waiters = slices.DeleteFunc(b.waiters, func(w *waiter) bool {
+		if w.account != a {
+			return false
+		}
+		w.err = ErrShort
+		close(w.decided)
+		return true
+	})
+}
+
 // Close releases all that the connection holds, and logs and counts its reason if it was
 // closed because of a limit.
 func (a *Account) Close() {
@@ -460,6 +476,7 @@
 		return
 	}
 	a.ended = true
+	b.dropWaiters(a)
 	for kind := range kinds {
 		a.release(kind, a.held[kind])
 	}
--- a/internal/clientbudget/clientbudget_test.go
+++ b/internal/clientbudget/clientbudget_test.go
@@ -70,6 +70,27 @@
 	requireEmpty(t, b)
 }
 
+// Guards against bytes that are never released, where a request still waits for memory
+// when its connection ends, and against a wait that others then queue behind.
+func TestEndOfAConnectionEndsItsWaits(t *testing.T) {
+	b := New(Options{Memory: testMemory})
+	first, _ := open(t, b)
+	second, _ := open(t, b)
+	first.Enter(clientlimit.Serving)
+	require.NoError(t, first.Reserve(t.Context(), Message, 2_500_000))
+	waited := make(chan error, 1)
+	go func() { waited <- second.Reserve(t.Context(), Answer, 1_000_000) }()
+	require.Eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.waiters) == 1
+	}, 10*time.Second, time.Millisecond)
+	second.Close()
+	first.Close()
+	require.ErrorIs(t, <-waited, ErrShort)
+	requireEmpty(t, b)
+}
+
 // Guards against a client that keeps memory while it stalls and others wait for it.
 func TestStalledConnectionIsClosedForAnother(t *testing.T) {
 	metrics := &recorder{}
