groupstate: older announcements don't restart the pace

Cause: held work polls with the announcement that it was placed with. After a start or a promotion its older announcement replaced the newer one, which then counted as another start. Change: an announcement older than the latest one is ignored. Result: the new test fails before and passes now; the tests of groupstate and engine pass.

--- a/internal/groupstate/pace.go
+++ b/internal/groupstate/pace.go
@@ -31,6 +31,8 @@
 	switch {
 	case a.Incarnation == 0: // made up from a lease, without an announcement
 		return
+	case a.Incarnation < p.incarnation || a.Incarnation == p.incarnation && a.Seq < p.seq:
+		return // work that is held back still has an older announcement
 	case first && (newcomer || a.ColdLeft > 0), !first && a.Incarnation > p.incarnation:
 		p.Restart(pace.Started, a.ColdLeft, now)
 	case p.role == topo.RoleReplica && a.Role == topo.RolePrimary:
--- a/internal/groupstate/pace_test.go
+++ b/internal/groupstate/pace_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Guards against a second restart where work that was held back during a start or a
+// promotion still has the announcement from before it.
+func TestAnOlderAnnouncementDoesNotRestartThePace(t *testing.T) {
+	old := topo.Announcement{Group: "g", ID: "a", Role: topo.RoleReplica, Incarnation: 1, Seq: 7}
+	started, promoted := old, old
+	started.Incarnation, started.Seq = 2, 1
+	promoted.Role, promoted.Seq = topo.RolePrimary, 8
+	for _, next := range []topo.Announcement{started, promoted} {
+		g, now := New(admission.Ranked, allSlots{}).Get("g"), time.Unix(1000, 0)
+		g.Pace(old, now)
+		restarted, _, _ := g.Pace(next, now)
+		now = now.Add(10 * time.Second)
+		g.Pace(old, now)
+		later, _, _ := g.Pace(next, now)
+		require.Greater(t, later, restarted)
+	}
+}
+
 // Guards against urgent work, or work that has waited long, that is held for the pace.
 func TestOnlyTheLeastUrgentWorkWaitsForThePace(t *testing.T) {
 	g, now := New(admission.Ranked, allSlots{}).Get("g"), time.Unix(1000, 0)
