pace: a few failures don't limit a database for ever

Cause: each failure dropped the pace to 0.6 of itself, and it doubles in a second, so two failures a second at one instance kept it at its lowest value, however many statements the database served. Change: the pace drops while the recent share of failures is above 0.2; after a restart the first failure is enough until answers show otherwise.

--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -42,7 +42,13 @@
 	dropFactor   = 0.6
 	dropInterval = 100 * time.Millisecond
 
-	// recentWeight is the weight of one answer in the recent latency. Service times
+	// failingShare is the recent share of failures above which the pace drops. With a
+	// drop for each failure, a database that fails 3 % of 100 statements a second never
+	// regained its full pace, since the pace only doubles each second.
+	failingShare = 0.2
+
+	// recentWeight is the weight of one answer in the recent latency and of one outcome in
+	// the recent share of failures. Service times
 	// vary by a factor of 2, so a single answer must not count as slow.
 	recentWeight = 0.15
 	// usualTimeConstant is the time constant of the usual latency: a database that
@@ -92,6 +98,8 @@
 	// without queueing.
 	recent, usual float64
 	observedAt    time.Time
+	// failures is the recent share of statements that were refused or failed.
+	failures float64
 
 	// releaseAt is when the next held statement may be sent.
 	releaseAt time.Time
@@ -106,6 +114,7 @@
 	}
 	p.limited, p.reason = true, r
 	p.value, p.grownAt = startValue, now
+	p.failures = failingShare // until an answer shows otherwise, one failure is enough for a drop
 	p.recent, p.hintedUntil = 0, now.Add(min(max(hint, 0), maxHint))
 }
 
@@ -179,6 +188,7 @@
 		p.recent = max(p.usual, 1)
 	}
 	p.recent += recentWeight * (ratio - p.recent)
+	p.failures -= recentWeight * p.failures
 	if p.slow() {
 		p.drop(now)
 	}
@@ -186,8 +196,12 @@
 
 // Refused records that the upstream refused or failed a statement.
 func (p *Pace) Refused(now time.Time) {
-	if p.limited {
-		p.grow(now)
+	if !p.limited {
+		return
+	}
+	p.grow(now)
+	p.failures += recentWeight * (1 - p.failures)
+	if p.failures > failingShare {
 		p.drop(now)
 	}
 }
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -91,3 +91,22 @@
 	require.True(t, p.HoldBack(unqueued, now.Add(9*unqueued)))
 	require.False(t, p.HoldBack(unqueued, now.Add(10*unqueued)))
 }
+
+// Guards against a database that is limited for as long as it fails a few statements,
+// though it serves the others at its usual speed.
+func TestAFewFailuresDoNotLimitForEver(t *testing.T) {
+	var p Pace
+	now := time.Unix(100, 0)
+	p.Restart(Recovered, 0, now)
+	highest := 0.0
+	for i := range 12_000 { // 100 statements a second for two minutes, of which 3 % fail
+		now = now.Add(10 * time.Millisecond)
+		if i%33 == 0 {
+			p.Refused(now)
+		} else {
+			p.Observe(unqueued, unqueued, now)
+		}
+		highest = max(highest, p.Value(now))
+	}
+	require.Equal(t, 1.0, highest)
+}
