quota, pace: notes and comments agree with the constants

Cause: the parts of the tolerance and the lives of tokens and fallbacks were changed without the note and the comment on the parts. The seeds that show a missing mechanism are those of the present constants.

--- a/internal/core/quota/bound_test.go
+++ b/internal/core/quota/bound_test.go
@@ -216,9 +216,9 @@
 		seed     uint64
 		disabled Mechanisms
 	}{
-		{"empty start", 2, 5, Mechanisms{EmptyStart: true}},
-		{"prepaid expiry", 40, 14, Mechanisms{PrepaidExpiry: true}},
-		{"fallback end", 24, 0, Mechanisms{FallbackEnd: true}},
+		{"empty start", 2, 32, Mechanisms{EmptyStart: true}},
+		{"prepaid expiry", 40, 22, Mechanisms{PrepaidExpiry: true}},
+		{"fallback end", 24, 5, Mechanisms{FallbackEnd: true}},
 		{"lease check", 6, 0, Mechanisms{LeaseCheck: true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -44,9 +44,9 @@
 	maxBatch = 10_000
 )
 
-// Parts of the tolerance. The rest covers prepaid tokens (a third of the tolerance
-// where the burst is one second of the rate) and owners that overlap while views
-// differ.
+// Parts of the tolerance. The rest covers prepaid tokens (at most a sixth of the
+// tolerance where the burst is one second of the rate, a fifth without burst) and owners
+// that overlap while views differ.
 const (
 	// startPart is the level of a new owner's bucket.
 	startPart = 0.2
