telemetry: metrics of rate limits and relayed statements

Operators could not see which organisations reach their limit, nor whether statements are relayed.

The gauge interval now records the operations of the ten largest organisations and of the others (taken, refused, admitted without an owner), relayed statements on both sides by outcome, and for each upstream whether it is relayed and whether this instance is a holder. The series are observed from the latest state, so those of former organisations and upstreams end. A relayed statement costs one atomic addition on each side.

--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -106,6 +106,7 @@
 // take it, so that another one may.
 func (a *relayAccess[C]) send(ctx context.Context, holder ctlstate.Member, state connState, st Statement) (r Result, reached bool, err error) {
 	relays := &a.engine.relays
+	defer func() { relays.counters.sent(err) }()
 	sentAt := clock.Now()
 	relays.record(holder.ID, (*relay.Health).Sent)
 	reply, err := peer.Call[relayReply](ctx, a.engine.opts.Peers.Client, holder.PeerAddr, kindRelay, a.newRequest(ctx, state, st))
--- a/internal/engine/relay_holder.go
+++ b/internal/engine/relay_holder.go
@@ -24,7 +24,8 @@
 type relayHolder[C Conn] struct {
 	engine *Engine[C]
 	// running counts the statements that are being served.
-	running atomic.Int64
+	running  atomic.Int64
+	counters relayCounters
 
 	mu sync.Mutex
 	// draining refuses new work, ending also statements of open transactions.
@@ -51,6 +52,7 @@
 func (h *relayHolder[C]) handle(ctx context.Context, req relayRequest) (reply relayReply, _ error) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
+	defer func() { h.counters.served(reply) }()
 	err := contain.Run(func() { reply = h.serve(ctx, req) })
 	if err == nil {
 		return reply, nil
--- a/internal/engine/relay_plan.go
+++ b/internal/engine/relay_plan.go
@@ -43,6 +43,8 @@
 	// blocked holds until when a holder gets no statements for an upstream that did not
 	// answer it.
 	blocked map[holderOfUpstream]time.Time
+
+	counters relayCounters
 }
 
 type holderOfUpstream struct {
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -233,3 +233,37 @@
 		m.check(t)
 	})
 }
+
+// Guards against metrics that miss relayed statements or report a lost one as refused, and
+// against an instance that does not appear as a holder.
+func TestRelayedStatementsAreCountedOnBothSides(t *testing.T) {
+	f := newRelayFleet(t)
+	sender, first, second := f.sender(), f.holder(0), f.holder(1)
+	relayed, holds := sender.RelayState(f.db.primary)
+	require.True(t, relayed)
+	require.False(t, holds)
+	relayed, holds = first.RelayState(f.db.primary)
+	require.True(t, relayed && holds)
+	relayed, _ = sender.RelayState("unknown")
+	require.False(t, relayed)
+
+	c := open(t, sender.Engine, "strict")
+	require.Equal(t, outcome.Done, c.write("one").Outcome.Kind)
+	require.Equal(t, RelayCounts{Done: 1}, sender.RelayStats().Sent)
+	require.Equal(t, RelayCounts{Done: 1}, first.RelayStats().Served)
+
+	first.DrainRelays()
+	require.Equal(t, outcome.Done, c.write("two").Outcome.Kind)
+	require.Equal(t, RelayCounts{Done: 2, Refused: 1}, sender.RelayStats().Sent)
+	require.Equal(t, RelayCounts{Done: 1, Refused: 1}, first.RelayStats().Served)
+	require.Equal(t, RelayCounts{Done: 1}, second.RelayStats().Served)
+
+	f.db.fail = func(topo.UpstreamID, Statement) failure {
+		sender.client.Close()
+		return none
+	}
+	require.Equal(t, outcome.Unknown, c.write("three").Outcome.Kind)
+	require.Equal(t, RelayCounts{Done: 2, Refused: 1, Lost: 1}, sender.RelayStats().Sent)
+	require.Eventually(t, func() bool { return second.RelayStats().Served == RelayCounts{Done: 2} }, time.Second, time.Millisecond,
+		"the holder has an answer, which did not reach the sender")
+}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -15,6 +15,7 @@
 	"github.com/cicadacove/cicadacove/internal/engine"
 	"github.com/cicadacove/cicadacove/internal/eventlog"
 	"github.com/cicadacove/cicadacove/internal/groupstate"
+	"github.com/cicadacove/cicadacove/internal/quota"
 	"github.com/cicadacove/cicadacove/internal/telemetry"
 )
 
@@ -120,6 +121,11 @@
 	Catalog  func() *catalog.Catalog
 	Sessions func() int
 	Gauges   func() []groupstate.Gauges
+	// Quota returns the operations of the largest organisations and of the others.
+	Quota func() []quota.Stat
+	// RelayStats and RelayState are those of the engine.
+	RelayStats func() engine.RelayStats
+	RelayState func(topo.UpstreamID) (relayed, holder bool)
 }
 
 // gaugeInterval is the time between two recordings of the gauges.
@@ -182,8 +188,12 @@
 	if c := sources.Catalog(); c != nil {
 		o.Instruments.ConfigRevision(c.Version)
 	}
+	o.recordOrganisations(sources)
+	relays := telemetry.RelayState{}
 	queued := map[int]int{}
 	for _, g := range sources.Gauges() {
+		relayed, holder := sources.RelayState(g.Upstream)
+		relays.Upstreams = append(relays.Upstreams, telemetry.UpstreamRelay{Upstream: g.Upstream, Relayed: relayed, Holder: holder})
 		o.Instruments.UpstreamPace(g.Upstream, g.Pace)
 		o.Instruments.Pool(g.Upstream, g.Pool.Idle, g.Pool.Open-g.Pool.Idle)
 		for rank := 1; rank <= contract.Ranks; rank++ {
@@ -193,4 +203,18 @@
 	for rank, length := range queued {
 		o.Instruments.QueueLength("", rank, length)
 	}
+	stats := sources.RelayStats()
+	relays.Sent, relays.Served = telemetry.RelayOutcomes(stats.Sent), telemetry.RelayOutcomes(stats.Served)
+	o.Instruments.Relays(relays)
+}
+
+func (o *Observer) recordOrganisations(sources GaugeSources) {
+	stats := sources.Quota()
+	list := make([]telemetry.OrganisationOperations, 0, len(stats))
+	for _, s := range stats {
+		list = append(list, telemetry.OrganisationOperations{
+			Organisation: s.Organisation, Taken: s.Taken, Refused: s.Refused, WithoutOwner: s.Fallback,
+		})
+	}
+	o.Instruments.Organisations(list)
 }
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
@@ -49,6 +50,9 @@
 	clientBytes     metric.Int64Gauge
 	clientsClosed   metric.Int64Counter
 
+	organisations atomic.Pointer[[]OrganisationOperations]
+	relays        atomic.Pointer[RelayState]
+
 	options sync.Map // from attributeKey to metric.MeasurementOption
 }
 
@@ -120,6 +124,8 @@
 		clientsClosed:   b.counter("cicadacove.clients.closed", "{connection}", "Connections of clients that were closed or refused because of a limit, by reason"),
 		droppedLogLines: b.counter("cicadacove.log.left_out", "{line}", "Log lines that were left out, by class"),
 	}
+	b.observeOrganisations(i)
+	b.observeRelays(i)
 	return i, errors.Join(b.errs...)
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -34,6 +34,35 @@
 	i.ControlBytes(100)
 	i.ClientBytes("message", 300)
 	i.ClientClosed("platform", "stalled")
+	i.Organisations([]OrganisationOperations{{Organisation: "acme", Taken: 40, Refused: 3, WithoutOwner: 2}, {Organisation: "other", Taken: 9}})
+	i.Relays(RelayState{
+		Sent: RelayOutcomes{Done: 7, Refused: 2, Lost: 1}, Served: RelayOutcomes{Done: 5},
+		Upstreams: []UpstreamRelay{{Upstream: "ledger-1/a", Relayed: true, Holder: true}, {Upstream: "ledger-2/a"}},
+	})
+}
+
+func scrape(t *testing.T, telemetry *Telemetry) string {
+	w := httptest.NewRecorder()
+	telemetry.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	require.Equal(t, 200, w.Code)
+	return w.Body.String()
+}
+
+// Guards against a series that stays for each organisation that was once among the
+// largest, and for each upstream that is gone.
+func TestSeriesOfFormerOrganisationsAndUpstreamsEnd(t *testing.T) {
+	telemetry, err := New()
+	require.NoError(t, err)
+	defer func() { require.NoError(t, telemetry.Close(t.Context())) }()
+	recordAll(telemetry.Instruments)
+	require.Contains(t, scrape(t, telemetry), `organisation="acme"`)
+	telemetry.Instruments.Organisations([]OrganisationOperations{{Organisation: "zenith"}})
+	telemetry.Instruments.Relays(RelayState{Upstreams: []UpstreamRelay{{Upstream: "ledger-1/a"}}})
+	text := scrape(t, telemetry)
+	require.NotContains(t, text, `organisation="acme"`)
+	require.Contains(t, text, `organisation="zenith"`)
+	require.NotContains(t, text, `upstream="ledger-2/a"`)
+	require.Contains(t, text, `cicadacove_relay_active{upstream="ledger-1/a"} 0`)
 }
 
 func TestMetricsInPrometheusFormat(t *testing.T) {
@@ -72,6 +101,17 @@
 		`cicadacove_control_bytes_total 100`,
 		`cicadacove_clients_held_bytes{kind="message"} 300`,
 		`cicadacove_clients_closed_total{protocol="platform",reason="stalled"} 1`,
+		`cicadacove_quota_operations{organisation="acme",result="taken"} 40`,
+		`cicadacove_quota_operations{organisation="acme",result="refused"} 3`,
+		`cicadacove_quota_operations{organisation="acme",result="without_owner"} 2`,
+		`cicadacove_quota_operations{organisation="other",result="taken"} 9`,
+		`cicadacove_relay_statements_total{direction="sent",outcome="done"} 7`,
+		`cicadacove_relay_statements_total{direction="sent",outcome="refused"} 2`,
+		`cicadacove_relay_statements_total{direction="sent",outcome="lost"} 1`,
+		`cicadacove_relay_statements_total{direction="served",outcome="done"} 5`,
+		`cicadacove_relay_active{upstream="ledger-1/a"} 1`,
+		`cicadacove_relay_active{upstream="ledger-2/a"} 0`,
+		`cicadacove_relay_holder{upstream="ledger-1/a"} 1`,
 	} {
 		require.Contains(t, w.Body.String(), line+"\n")
 	}
