engine: name the upstream, the holder and the cause of a transaction that can't begin

A read-write transaction whose BEGIN a holder refused for lack of connections was logged as CC002, no primary available, without upstream and via: the second attempt has no other primary, and its outcome replaced the cause. The placement and the holder are now recorded before the BEGIN, and the first failure is reported, as for reads outside transactions. Callers see BUSY as before.

A test guards the fields of refused statements and transactions at a holder without free connections; it failed with CC002 before.

--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -267,3 +267,28 @@
 	require.Eventually(t, func() bool { return second.RelayStats().Served == RelayCounts{Done: 2} }, time.Second, time.Millisecond,
 		"the holder has an answer, which did not reach the sender")
 }
+
+// Guards against a refusal by a holder without free connections whose log line doesn't say
+// where the statement waited.
+func TestRefusalForShortConnectionsNamesTheHolder(t *testing.T) {
+	for _, inTx := range []bool{false, true} {
+		f := newRelayFleet(t)
+		sender, holder := f.sender(), f.holder(0).opts.Self
+		first := open(t, sender.Engine, "strict") // takes the only connection of the holder
+		first.begin(false)
+		require.Equal(t, outcome.Done, first.write("one").Outcome.Kind)
+		events := &recordedEvents{}
+		sender.opts.Events = events
+		c := open(t, sender.Engine, "strict")
+		if inTx {
+			c.begin(false)
+		}
+		r := c.write("two")
+		require.Equal(t, outcome.CodeOverloaded, r.Outcome.Code, r.Outcome.Reason)
+		require.Contains(t, r.Outcome.Reason, "no connection to an upstream is free")
+		e := events.ended[len(events.ended)-1]
+		require.Equal(t, holder, e.Via)
+		require.Equal(t, f.db.primary, e.Upstream)
+		require.Less(t, e.Waited, e.Took, "the wait at the holder is part of the time in all")
+	}
+}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -104,7 +104,6 @@
 		if o := s.startTransaction(ctx, w); o.Kind != "" {
 			return s.failWith(o)
 		}
-		s.recordPlacement(tx.placement)
 		s.event.Waited = time.Since(w.arrived)
 		r := s.runStatement(ctx, w)
 		tx.access.releaseSlot()
@@ -131,11 +130,16 @@
 	for attempt := 1; attempt <= maxReadAttempts && ctx.Err() == nil; attempt++ {
 		s.event.Attempts = attempt
 		at, o, ok := s.placeTransaction(ctx, w, avoid)
+		if !ok && attempt > 1 {
+			return last // report why the attempted upstreams failed
+		}
 		if !ok {
 			return o
 		}
 		s.tx.access, s.tx.placement = s.engine.newAccess(at, w.request), at
+		s.recordPlacement(at)
 		o, retry := s.beginAt(ctx, w, s.tx.access, at)
+		s.event.Via = s.tx.access.via()
 		if o.Kind == "" {
 			return o
 		}
