peer: a connection doesn't keep the memory of a long frame

Cause: each connection kept the buffer of its longest frame. Relayed statements may have 1 MiB, and an instance of 136 MB has connections to 93 others, so they could hold most of its memory for good. Change: a buffer above 64 KiB is dropped after its frame. Result: the new test fails before (1,056,768 bytes kept) and passes now; the tests of the package pass.

--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -70,6 +70,9 @@
 	kindPing = "peer.ping"
 	// maxConcurrentRequests limits the concurrent requests of one connection.
 	maxConcurrentRequests = 1024
+	// maxKeptBuffer is the capacity up to which a connection keeps its buffer for the next
+	// frame. An instance has a connection to each of the others.
+	maxKeptBuffer = 64 << 10
 )
 
 // NotSentError means that a request was not sent, since no connection to the server could
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -316,7 +316,9 @@
 	if err != nil {
 		return err
 	}
-	w.buf = buf
+	if w.buf = buf; cap(buf) > maxKeptBuffer {
+		w.buf = nil
+	}
 	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
