--- a/internal/core/catalog/organisations.go
+++ b/internal/core/catalog/organisations.go
@@ -62,6 +62,9 @@
 
 func (c *Catalog) addKeys(o OrganisationKeys) error {
 	for _, key := range o.Keys {
+		if key == "" {
+			continue // it would admit callers that send no key
+		}
 		digest := DigestKey(key)
 		if owner, taken := c.byKey[digest]; taken && owner != o.Name {
 			return &FieldError{"organisation " + o.Name, fmt.Sprintf("has a key of the organisation %s", owner)}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,6 +38,9 @@
 	Share func() float64
 	// Peers connects to the other entry instances; the zero value has no peers.
 	Peers Peers
+	// MemoryBytes is the memory of the instance, zero if unknown. It limits what the
+	// statements of other instances may hold.
+	MemoryBytes int64
 	// Quota limits the rate of organisations; nil admits all operations.
 	Quota Quota
 	// Events receives notifications of decisions; nil disables them.
--- a/internal/engine/relay_holder.go
+++ b/internal/engine/relay_holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,11 +21,33 @@
 // caller ends an idle transaction itself, unless it is gone.
 const relayIdleMargin = 500 * time.Millisecond
 
+const (
+	// relayMemoryShare is the fraction of the instance's memory that relayed statements may
+	// hold. Their senders limit what a caller sends, but many senders share a holder.
+	relayMemoryShare = 0.1
+	// smallRelayBytes is the size up to which a statement is not refused for its memory, so
+	// that large ones do not keep ordinary ones out.
+	smallRelayBytes = 4 << 10
+	// holderRetryAfter is the time after which the caller of a refused large statement
+	// should try again.
+	holderRetryAfter = 200 * time.Millisecond
+)
+
+// maxRelayedBytes returns how many bytes the statements of other instances may hold.
+func (e *Engine[C]) maxRelayedBytes() int64 {
+	if e.opts.MemoryBytes <= 0 {
+		return math.MaxInt64
+	}
+	return int64(relayMemoryShare * float64(e.opts.MemoryBytes))
+}
+
 // relayHolder runs the statements that other instances relay to this one.
 type relayHolder[C Conn] struct {
 	engine *Engine[C]
-	// running counts the statements that are being served.
-	running  atomic.Int64
+	// running counts the statements that are being served, bytes what their texts and
+	// session values hold.
+	running, bytes atomic.Int64
+
 	counters relayCounters
 
 	mu sync.Mutex
@@ -53,6 +76,13 @@
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	defer func() { h.counters.served(reply) }()
+	size := req.size()
+	defer h.bytes.Add(-size)
+	if h.bytes.Add(size) > h.engine.maxRelayedBytes() && size > smallRelayBytes {
+		refusal := newRelayRefusal(outcome.RefusedWithRetry(outcome.CodeOverloaded, "the memory for statements of other instances is short", holderRetryAfter))
+		refusal.Final = true
+		return relayReply{Refusal: refusal}, nil
+	}
 	err := contain.Run(func() { reply = h.serve(ctx, req) })
 	if err == nil {
 		return reply, nil
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -401,3 +402,20 @@
 		require.Less(t, e.Waited, e.Took, "the wait at the holder is part of the time in all")
 	}
 }
+
+// Guards against a holder that runs out of memory by large statements that many instances
+// relay at once.
+func TestHolderLimitsTheMemoryOfRelayedStatements(t *testing.T) {
+	f := newRelayFleet(t)
+	large := strings.Repeat("x", 64<<10)
+	for _, i := range f.instances {
+		i.opts.MemoryBytes = 10 * 32 << 10
+	}
+	c := open(t, f.sender().Engine, "strict")
+	r := c.write(large)
+	require.Equal(t, outcome.CodeOverloaded, r.Outcome.Code)
+	n, _ := f.db.commits("WRITE " + large)
+	require.Zero(t, n, "it has not run")
+	require.Equal(t, outcome.Done, c.write("small").Outcome.Kind)
+	require.Zero(t, f.holder(0).held.bytes.Load())
+}
--- a/internal/engine/relay_wire.go
+++ b/internal/engine/relay_wire.go
@@ -57,6 +57,15 @@
 	Text packedText `msgpack:"p,omitempty"`
 }
 
+// size returns the bytes of the text and of the session's values.
+func (r *relayRequest) size() int64 {
+	size := len(r.Text)
+	for name, value := range r.Values {
+		size += len(name) + len(value)
+	}
+	return int64(size)
+}
+
 // statement returns the statement with its text.
 func (r *relayRequest) statement() Statement {
 	st := r.Statement
