--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -142,7 +142,7 @@
 
 // Relayed returns the number of statements and transactions of other instances that this
 // one serves.
-func (e *Engine[C]) Relayed() int { return e.held.held() }
+func (e *Engine[C]) Relayed() int { return e.held.count() }
 
 // Open starts a session of a caller with a key for a database name. If it returns no
 // session, the outcome gives the reason.
--- a/internal/engine/relay_holder.go
+++ b/internal/engine/relay_holder.go
@@ -305,9 +305,9 @@
 	return h.ending
 }
 
-// held returns the number of statements that run and of transactions that are open for
+// count returns the number of statements that run and of transactions that are open for
 // other instances.
-func (h *relayHolder[C]) held() int {
+func (h *relayHolder[C]) count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.txs) + int(h.running.Load())
