--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -105,11 +105,12 @@
 // HoldsDirect reports whether the instance may have one connection of its own to an
 // upstream, beside the holders. Connections that belong to organisations are not kept this
 // way: an instance would rarely find the one of the right organisation.
-func HoldsDirect(self topo.InstanceID, id topo.UpstreamID, members []ctlstate.Member, d Density) bool {
+func HoldsDirect(self topo.InstanceID, id topo.UpstreamID, members []ctlstate.Member, d Density, holders int) bool {
 	if d.Organisations > 0 {
 		return false
 	}
-	n := min(int(directShare*float64(d.Connections)), len(members))
+	left := max(d.Connections-holders*ConnectionLimit(d, holders), 0)
+	n := min(int(directShare*float64(d.Connections)), left, len(members))
 	return slices.ContainsFunc(membership.Rendezvous("direct/"+string(id), members, n), func(m ctlstate.Member) bool { return m.ID == self })
 }
 
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -57,7 +57,7 @@
 		d := Density{Connections: connections, Instances: instances, Organisations: organisations}
 		open := n * ConnectionLimit(d, n)
 		for _, m := range fleet(instances) {
-			if HoldsDirect(m.ID, "u", fleet(instances), d) {
+			if HoldsDirect(m.ID, "u", fleet(instances), d, n) {
 				open++
 			}
 		}
--- a/internal/engine/relay_plan.go
+++ b/internal/engine/relay_plan.go
@@ -116,7 +116,7 @@
 			plan.upstreams[u.ID] = u
 			n := relay.HolderCount(instances[u.Zone], upstreams[u.Zone])
 			set := e.newHolderSet(u, d, relay.Holders(u.ID, u.Zone, members, n))
-			set.direct = !set.holdsSelf && relay.HoldsDirect(e.opts.Self, u.ID, members, d)
+			set.direct = !set.holdsSelf && relay.HoldsDirect(e.opts.Self, u.ID, members, d, len(set.members))
 			plan.holders[u.ID] = set
 		}
 	}
