core/relay: statements are relayed only where connections belong to organisations

Change: without organisations each instance uses connections of its own, as before; connections beside those of holders are taken out.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -2,9 +2,10 @@
 // there are too few connections for all of them. The others relay their statements to
 // these holders.
 //
-// Load that it answers: many instances, or many organisations, before few connections.
-// If each instance connects by itself, it finds the connections taken, or opens one for
-// almost every statement.
+// Load that it answers: many organisations on many instances before few connections. A
+// connection belongs to one organisation, so an instance that connects by itself opens one
+// for almost every statement. Without organisations its connections serve all statements,
+// and the processor time of a relay is more than that of the connections that it saves.
 //
 // The package does no I/O and reads no clock; callers pass in the time.
 package relay
@@ -20,17 +21,10 @@
 )
 
 const (
-	// usableShare is the share of an upstream's connections that instances may use in all.
-	// The rest is for those that take over or restart while the upstream still counts the
+	// usableShare is the share of an upstream's connections that its holders may use. The
+	// rest is for holders that take over or restart while the upstream still counts the
 	// connections of lost ones, and for control.
-	usableShare = 0.75
-	// organisationShare is the share of the holders where connections belong to
-	// organisations. All of them may be opened again after a restart of all instances.
-	organisationShare = 0.5
-	// directShare is the share for instances that have one connection of their own beside
-	// the holders. A relayed message passes two more network links, and connections that
-	// holders don't need would be left unused.
-	directShare = 0.45
+	usableShare = 0.5
 	// minHolders keeps an upstream in use while one holder is lost; maxHolders keeps the
 	// queue of an upstream in few places, so that ranks are compared there.
 	minHolders, maxHolders = 2, 4
@@ -49,24 +43,18 @@
 	// startBelow is the number of usable connections for each instance below which
 	// statements are relayed, stopFrom the number from which they are not any more. They
 	// differ so that a few lost instances do not switch relaying off.
-	startBelow, stopFrom = 1.0, 2.0
-	// organisationFactor multiplies both where connections belong to organisations: an
-	// instance then needs several.
-	organisationFactor = 4.0
+	startBelow, stopFrom = 2.5, 5.0
 )
 
 // Needed reports whether statements should be relayed. relaying is the previous result.
 func Needed(d Density, relaying bool) bool {
-	if d.Instances <= minHolders {
+	if d.Organisations <= 1 || d.Instances <= minHolders {
 		return false
 	}
 	limit := startBelow
 	if relaying {
 		limit = stopFrom
 	}
-	if d.Organisations > 1 {
-		limit *= organisationFactor
-	}
 	return usableShare*float64(d.Connections)/float64(d.Instances) < limit
 }
 
@@ -102,26 +90,10 @@
 	return membership.Rendezvous(key, holders, len(holders))
 }
 
-// HoldsDirect reports whether the instance may have one connection of its own to an
-// upstream, beside the holders. Connections that belong to organisations are not kept this
-// way: an instance would rarely find the one of the right organisation.
-func HoldsDirect(self topo.InstanceID, id topo.UpstreamID, members []ctlstate.Member, d Density, holders int) bool {
-	if d.Organisations > 0 {
-		return false
-	}
-	left := max(d.Connections-holders*ConnectionLimit(d, holders), 0)
-	n := min(int(directShare*float64(d.Connections)), left, len(members))
-	return slices.ContainsFunc(membership.Rendezvous("direct/"+string(id), members, n), func(m ctlstate.Member) bool { return m.ID == self })
-}
-
 // ConnectionLimit returns how many connections to an upstream each of its holders may
 // have, at least one.
-func ConnectionLimit(d Density, holders int) int {
-	share := usableShare - directShare
-	if d.Organisations > 0 {
-		share = organisationShare
-	}
-	return max(int(share*float64(d.Connections)/float64(max(holders, 1))), 1)
+func ConnectionLimit(connections, holders int) int {
+	return max(int(usableShare*float64(connections)/float64(max(holders, 1))), 1)
 }
 
 // Slots returns how many statements each of an upstream's holders may run there at once.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -209,10 +209,10 @@
 	e.samplePositions(ctx, clock.Now())
 }
 
-// idleTimeout returns how long a connection to an upstream may stay idle. Holders keep
-// their connections, since those of all instances fit.
+// idleTimeout returns how long a connection to an upstream may stay idle. A holder keeps
+// its connections, since those of all holders fit.
 func (e *Engine[C]) idleTimeout(id topo.UpstreamID, limit int) time.Duration {
-	if set, relayed := e.holdersOf(id); relayed && (set.holdsSelf || set.direct) {
+	if set, relayed := e.holdersOf(id); relayed && set.holdsSelf {
 		return pool.IdleLimit
 	}
 	return pool.IdleTimeout(limit)
--- a/internal/engine/relay_plan.go
+++ b/internal/engine/relay_plan.go
@@ -26,9 +26,8 @@
 // holderSet are the holders of one upstream.
 type holderSet struct {
 	members []ctlstate.Member
-	// holdsSelf means that this instance is one of them, direct that it may have one
-	// connection of its own beside them.
-	holdsSelf, direct bool
+	// holdsSelf means that this instance is one of them.
+	holdsSelf bool
 	// connections and slots are the limits of each holder.
 	connections, slots int
 }
@@ -115,17 +114,15 @@
 		for _, u := range list {
 			plan.upstreams[u.ID] = u
 			n := relay.HolderCount(instances[u.Zone], upstreams[u.Zone])
-			set := e.newHolderSet(u, d, relay.Holders(u.ID, u.Zone, members, n))
-			set.direct = !set.holdsSelf && relay.HoldsDirect(e.opts.Self, u.ID, members, d, len(set.members))
-			plan.holders[u.ID] = set
+			plan.holders[u.ID] = e.newHolderSet(u, g.Connections, relay.Holders(u.ID, u.Zone, members, n))
 		}
 	}
 	return plan
 }
 
-func (e *Engine[C]) newHolderSet(u topo.Announcement, d relay.Density, members []ctlstate.Member) holderSet {
+func (e *Engine[C]) newHolderSet(u topo.Announcement, connections int, members []ctlstate.Member) holderSet {
 	set := holderSet{
-		members: members, connections: relay.ConnectionLimit(d, len(members)),
+		members: members, connections: relay.ConnectionLimit(connections, len(members)),
 		slots: relay.Slots(max(u.Slots, 1), len(members)),
 	}
 	for _, m := range members {
@@ -163,7 +160,7 @@
 // connection of this instance.
 func (e *Engine[C]) relayCandidates(id topo.UpstreamID, organisation string) []ctlstate.Member {
 	set, ok := e.holdersOf(id)
-	if !ok || organisation == "" && (set.holdsSelf || set.direct && e.connectionFree(id)) {
+	if !ok || set.holdsSelf && organisation == "" {
 		return nil
 	}
 	key := organisation
@@ -182,17 +179,6 @@
 	return candidates
 }
 
-// connectionFree reports whether a statement would get a connection of this instance
-// without waiting for another one.
-func (e *Engine[C]) connectionFree(id topo.UpstreamID) bool {
-	m, ok := e.pools.Lookup(id)
-	if !ok {
-		return true
-	}
-	s := m.Stats()
-	return s.Waiting == 0 && (s.Idle > 0 || s.Open < s.Limit)
-}
-
 // usable reports whether a holder may get a statement for an upstream now.
 func (r *relays) usable(pair holderOfUpstream, now time.Time) bool {
 	r.mu.Lock()
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -37,8 +38,7 @@
 	opened atomic.Int64
 }
 
-// fewConnections is less than one usable connection for each instance, and leaves none
-// beside those of the holders.
+// fewConnections is less than one usable connection for each instance.
 const fewConnections = 2
 
 func startRelayFleet(t require.TestingT, cleanup func(func())) *relayFleet {
@@ -60,6 +60,15 @@
 		c := *i.opts.Catalog()
 		c.Groups = map[topo.GroupID]catalog.Group{group: {ID: group, Connections: fewConnections, Durability: 1}}
 		c.IdleTransaction = 50 * time.Millisecond
+		require.NoError(t, c.SetOrganisations([]catalog.OrganisationKeys{
+			{Organisation: catalog.Organisation{Name: "north"}, Keys: []string{"n"}},
+			{Organisation: catalog.Organisation{Name: "south"}, Keys: []string{"s"}},
+		}))
+		c.Routes = maps.Clone(c.Routes)
+		for name, r := range c.Routes {
+			r.Public = name != "least urgent"
+			c.Routes[name] = r
+		}
 		i.opts.Catalog = func() *catalog.Catalog { return &c }
 		i.opts.Self = members[n].ID
 		i.relayName = string(i.opts.Self)
@@ -419,3 +428,28 @@
 	require.Equal(t, outcome.Done, c.write("small").Outcome.Kind)
 	require.Zero(t, f.holder(0).held.bytes.Load())
 }
+
+// Guards against an organisation whose statements open connections at several holders, or
+// run on a connection of another organisation.
+func TestOrganisationsUseTheirConnectionsAtOneHolder(t *testing.T) {
+	f := newRelayFleet(t)
+	conns := map[string]map[int]bool{"n": {}, "s": {}}
+	for _, i := range f.instances {
+		for key, used := range conns {
+			c := openWith(t, i.Engine, "least urgent", key)
+			require.Equal(t, outcome.Done, c.write(key+string(i.opts.Self)).Outcome.Kind)
+			used[f.db.lastRun(key+string(i.opts.Self)).conn] = true
+		}
+	}
+	for conn := range conns["n"] {
+		require.NotContains(t, conns["s"], conn, "organisations share no connection")
+	}
+	if f.firstHolder("north") != f.firstHolder("south") {
+		require.Len(t, conns["n"], 1, "all instances use one connection")
+	}
+}
+
+// firstHolder returns the holder of the primary that an organisation uses first.
+func (f *relayFleet) firstHolder(organisation string) topo.InstanceID {
+	return f.sender().relayCandidates(f.db.primary, organisation)[0].ID
+}
