membership: each rendezvous hash is computed once, and holders are ranked in their zone only

The relay plan ranks all members for each upstream at each change of members, and the comparison hashed both members each time. Change: hashes are computed before sorting, and holders are ranked among the members of the upstream's zone first. The order is the same.

--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -28,11 +28,25 @@
 
 // Rendezvous returns the n members with the highest rendezvous hashes for key.
 func Rendezvous(key string, members []ctlstate.Member, n int) []ctlstate.Member {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b ctlstate.Member) int {
-		return cmp.Or(cmp.Compare(score(key, b.ID), score(key, a.ID)), cmp.Compare(a.ID, b.ID))
+	order := make([]scored, len(members))
+	for i, m := range members {
+		order[i] = scored{score(key, m.ID), i}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(members[a.index].ID, members[b.index].ID))
 	})
-	return ranked[:min(n, len(ranked))]
+	ranked := make([]ctlstate.Member, min(n, len(members)))
+	for i := range ranked {
+		ranked[i] = members[order[i].index]
+	}
+	return ranked
+}
+
+// scored is a member by its index, with its rendezvous hash. Each hash is computed once:
+// fleets of hundreds of members are ranked for each upstream.
+type scored struct {
+	score uint64
+	index int
 }
 
 // Peers returns n members other than self. Different instances get different ones,
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -11,9 +11,7 @@
 package relay
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"github.com/cicadacove/cicadacove/internal/core/ctlstate"
 	"github.com/cicadacove/cicadacove/internal/core/membership"
@@ -70,18 +68,20 @@
 // first: a statement then crosses zones once, as it would without a relay. Members that
 // compare different live views agree on most holders.
 func Holders(id topo.UpstreamID, zone topo.Zone, members []ctlstate.Member, n int) []ctlstate.Member {
-	ranked := membership.Rendezvous("holder/"+string(id), members, len(members))
-	slices.SortStableFunc(ranked, func(a, b ctlstate.Member) int {
-		return cmp.Compare(distance(a, zone), distance(b, zone))
-	})
-	return ranked[:min(n, len(ranked))]
-}
-
-func distance(m ctlstate.Member, zone topo.Zone) int {
-	if m.Zone == zone {
-		return 0
+	var near, far []ctlstate.Member
+	for _, m := range members {
+		if m.Zone == zone {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	key := "holder/" + string(id)
+	holders := membership.Rendezvous(key, near, n)
+	if len(holders) < n {
+		holders = append(holders, membership.Rendezvous(key, far, n-len(holders))...)
 	}
-	return 1
+	return holders
 }
 
 // Order returns the holders in the order in which statements with the key use them. An
