--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -24,8 +24,6 @@
 	frontPort    = 8784
 	readyPort    = 8785
 	databasePort = 8080
-	// metricsPort is fixed by deploy/system.toml.
-	metricsPort = 9464
 )
 
 // Host parts of the addresses.
