review: show reads at a database whose drain was acknowledged

Case 8: a database restarts under its id while the clock of its host jumps back. Its announcements count as stale, also the one that it drains, which is acknowledged all the same. The cases with long ids and long shapes are now 9 and 10. The stand-ins share the start of a deployment.

--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -59,3 +59,14 @@
 	c.r.say("the platform handles promote %s with token %s", body.ID, token)
 	w.WriteHeader(http.StatusOK)
 }
+
+// startWith starts the cluster with the platform's API before it, and sends the
+// configuration until it is acknowledged.
+func (c *cluster) startWith(g *group, config map[string]any) (*cloud, error) {
+	platform := &cloud{r: c.r, group: g}
+	platform.serve(c.cloudAddr())
+	if err := c.start(); err != nil {
+		return nil, err
+	}
+	return platform, putConfig(c.r, c.controlAddrs(), config)
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -29,8 +29,8 @@
 // cases are the cases by name.
 var cases = map[string]func(r *record, trouble bool) error{
 	"late-promote": playLatePromote,
-	"slow-readers": playSlowReaders,
 	"long-shapes":  playLongShapes,
+	"old-clock":    playOldClock,
 	"old-reads":    playOldReads,
 	"long-ids":     playLongIDs,
 }
