engine, platform: an answer without a position is no sample of the primary

Cause: a database may answer any statement with "-" in place of its position. parsePoint made the zero point of it, and samplePrimary recorded that as a sample of the primary: "everything committed so far is at or before the start of the log". Reads then required nothing, and were sent to replicas without AFTER.

Fix: a result carries a topo.ReportedPoint, whose zero value is "no point", through relays too; only a reported point becomes a sample or the position of a replica. An upstream that answers the query for its position without one is asked for its STATUS, whose answer consists of it.

TestAnswerWithoutPositionIsNoSample, TestRelayedAnswerWithoutPosition and TestPrimaryWithoutPositionIsReachable failed before ("expected 0xa, actual 0x5": the read ran on entry 5 of 10).

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -298,45 +298,49 @@
 	}
 }
 
-// samplePrimary gets the primary's position from the answer to a statement that
-// needs no slot.
+// samplePrimary queries the primary's position. An answer without a position is no
+// sample: it doesn't tell what the primary has committed.
 func (e *Engine[C]) samplePrimary(ctx context.Context, id topo.GroupID) error {
 	auth, ok := e.opts.Control.Authority(id)
 	if !ok {
 		return errNoAuthority
 	}
 	sentAt := clock.Now()
-	result, err := e.reset(ctx, placement{upstream: auth.Primary, term: auth.Term})
+	result, err := e.queryPosition(ctx, placement{upstream: auth.Primary, term: auth.Term})
 	if err != nil {
 		return err
 	}
 	if !e.opts.Control.Holds(id, auth.Term) {
 		return errNoAuthority
 	}
-	e.groups.Get(id).ObservePrimary(result.Point, sentAt)
 	e.opts.Control.ReportPrimary(id, auth.Term, true)
+	point, known := result.Point.Point()
+	if !known {
+		return errNoPosition
+	}
+	e.groups.Get(id).ObservePrimary(point, sentAt)
 	return nil
 }
 
-// reset runs a statement at an upstream that needs no slot.
-func (e *Engine[C]) reset(ctx context.Context, at placement) (Result, error) {
+// queryPosition queries the position of an upstream.
+func (e *Engine[C]) queryPosition(ctx context.Context, at placement) (Result, error) {
 	r := request{arrived: time.Now()}
 	if relayed, ok := e.newAccess(at, r).(*relayAccess[C]); ok {
 		relayed.request = r
 		return relayed.execute(ctx, connState{}, Statement{Verb: Reset})
 	}
-	return e.resetLocally(ctx, at.upstream)
+	return e.queryPositionLocally(ctx, at.upstream)
 }
 
-// resetLocally is reset on a connection of this instance.
-func (e *Engine[C]) resetLocally(ctx context.Context, a topo.Announcement) (Result, error) {
+// queryPositionLocally is queryPosition on a connection of this instance.
+func (e *Engine[C]) queryPositionLocally(ctx context.Context, a topo.Announcement) (Result, error) {
 	m := e.pools.Get(a)
 	pc, err := m.Acquire(ctx, connpool.Key{})
 	if err != nil {
 		return Result{}, err
 	}
 	defer m.Release(pc)
-	return pc.reset(ctx)
+	return pc.queryPosition(ctx)
 }
 
 // nextCallerID returns a unique name for fair queueing among callers.
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -9,6 +9,7 @@
 
 var (
 	errNoAuthority     = errors.New("engine: no primary is available under a valid lease")
+	errNoPosition      = errors.New("engine: the primary answered without its position")
 	errLeaving         = errors.New("engine: the upstream is about to shut down")
 	errEmptyRelayReply = errors.New("engine: the instance that holds the connection sent no result")
 	errCircuitOpen     = errors.New("engine: the upstream's circuit breaker is open")
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -47,6 +47,8 @@
 	committed map[string]int
 	// committedAt is the position at which the text was last committed.
 	committedAt map[string]topo.Position
+	// bare selects the statements whose answers have no position; nil selects none.
+	bare func(st Statement) bool
 	// fail selects the fault to inject for each statement.
 	fail func(upstream topo.UpstreamID, st Statement) failure
 	// changed is closed when the lease changes.
@@ -152,7 +154,10 @@
 			c.closed = true
 			return results, errBroken
 		}
-		r.State, r.Point = c.state, c.db.point(c.upstream)
+		r.State = c.state
+		if c.db.bare == nil || !c.db.bare(st) {
+			r.Point = topo.Reported(c.db.point(c.upstream))
+		}
 		results = append(results, r)
 	}
 	return results, nil
--- a/internal/engine/monitor.go
+++ b/internal/engine/monitor.go
@@ -80,17 +80,20 @@
 	}
 }
 
-func (m *monitor[C]) answered(sentAt time.Time, point topo.Point) {
+func (m *monitor[C]) answered(sentAt time.Time, reported topo.ReportedPoint) {
 	now := clock.Now()
 	m.reached()
 	g := m.engine.groups.Get(m.upstream.Group)
 	g.ObserveAnswer(m.upstream.ID, now.Sub(sentAt))
-	g.ObserveReplica(m.upstream.ID, point, now)
+	point, known := reported.Point()
+	if known {
+		g.ObserveReplica(m.upstream.ID, point, now)
+	}
 	if m.term == 0 {
 		return
 	}
 	m.engine.opts.Control.ReportPrimary(m.upstream.Group, m.term, true)
-	if m.engine.opts.Control.Holds(m.upstream.Group, m.term) {
+	if known && m.engine.opts.Control.Holds(m.upstream.Group, m.term) {
 		g.ObservePrimary(point, sentAt)
 	}
 }
--- a/internal/engine/pooled_conn.go
+++ b/internal/engine/pooled_conn.go
@@ -57,16 +57,26 @@
 	return results, nil
 }
 
-// reset clears the state of the connection. The statement needs no slot, and its
-// answer carries the upstream's position.
-func (pc *pooledConn[C]) reset(ctx context.Context) (Result, error) {
+// queryPosition returns an answer with the upstream's position. Reset needs no slot; an
+// upstream that answers it without its position is asked for its status. If that is
+// refused too, the answer has no position.
+func (pc *pooledConn[C]) queryPosition(ctx context.Context) (Result, error) {
 	results, err := pc.run(ctx, Statement{Verb: Reset})
 	if err != nil {
 		return Result{}, err
 	}
 	clear(pc.values)
 	clear(pc.prepared)
-	return results[0], nil
+	reset := results[0]
+	if reset.Point.Known {
+		return reset, nil
+	}
+	results, err = pc.run(ctx, Statement{Verb: Status})
+	if err != nil {
+		return Result{}, err
+	}
+	reset.Point = results[0].Point
+	return reset, nil
 }
 
 // setUp applies the session's values to the connection and, if def is not nil,
--- /dev/null
+++ b/internal/engine/position_test.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadacove/cicadacove/internal/core/outcome"
+	"github.com/cicadacove/cicadacove/internal/core/topo"
+)
+
+// answersWithout makes the upstreams answer statements of these verbs without a position.
+func (db *fakeGroup) answersWithout(verbs ...Verb) {
+	db.bare = func(st Statement) bool { return slices.Contains(verbs, st.Verb) }
+}
+
+// fallBehind makes the replicas lack the last entries of the primary's log.
+func (db *fakeGroup) fallBehind() {
+	db.applied["b"], db.applied["c"] = 5, 5
+}
+
+// requireServed reads until the upstream serves the read.
+func requireServed(t *testing.T, c *client, db *fakeGroup, id topo.UpstreamID) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return c.read("late").Outcome.Kind == outcome.Done && db.lastRun("late").upstream == id
+	}, 5*time.Second, time.Millisecond)
+}
+
+// Guards against reads of bounded staleness that run on lagging replicas without a
+// condition: an answer without a position is no proof that the primary's log is empty.
+func TestAnswerWithoutPositionIsNoSample(t *testing.T) {
+	everything := []Verb{Begin, Commit, Rollback, Read, Write, Set, Prepare, Execute, Reset, Status}
+	cases := []struct {
+		name string
+		bare []Verb
+		// late means that a replica serves reads once it has caught up.
+		late bool
+	}{
+		{"reset", []Verb{Reset, Set, Prepare}, true},
+		{"all but reads and writes", []Verb{Reset, Status, Set, Prepare, Begin, Commit, Rollback}, true},
+		{"all", everything, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			db := newFakeGroup()
+			db.fallBehind()
+			db.answersWithout(tc.bare...)
+			reader := open(t, newEngine(db), "old")
+			for _, inTx := range []bool{false, true, false} {
+				if inTx {
+					reader.begin(true)
+				}
+				require.Equal(t, outcome.Done, reader.read("x").Outcome.Kind)
+				require.Equal(t, db.position, db.lastRun("x").point.Position)
+				if inTx {
+					require.Equal(t, outcome.Done, reader.commit().Outcome.Kind)
+				}
+			}
+			db.catchUp("b")
+			if tc.late {
+				requireServed(t, reader, db, "b")
+				return
+			}
+			require.Equal(t, outcome.Done, reader.read("late").Outcome.Kind)
+			require.Equal(t, db.primary, db.lastRun("late").upstream, "nothing shows that a replica is recent enough")
+		})
+	}
+}
+
+// Guards against holders that pass an absent position on as the start of the log.
+func TestRelayedAnswerWithoutPosition(t *testing.T) {
+	f := newRelayFleet(t)
+	f.db.answersWithout(Reset)
+	f.db.fallBehind()
+	for _, i := range []*relayInstance{f.sender(), f.holder(0)} {
+		c := open(t, i.Engine, "old")
+		require.Equal(t, outcome.Done, c.read("x").Outcome.Kind)
+		require.Equal(t, f.db.position, f.db.lastRun("x").point.Position)
+	}
+}
+
+// Guards against a primary that counts as unreachable because it answers without a position.
+func TestPrimaryWithoutPositionIsReachable(t *testing.T) {
+	db := newFakeGroup()
+	db.answersWithout(Reset, Status)
+	e := newEngine(db)
+	require.ErrorIs(t, e.samplePrimary(t.Context(), group), errNoPosition)
+	_, _, known := e.groups.Get(group).LatestSample()
+	require.False(t, known)
+	member, _ := e.pools.Lookup(db.primary)
+	require.True(t, member.Available(time.Now()))
+	require.EqualValues(t, 1, e.pools.Stats(db.primary).Idle, "the connection is kept")
+}
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -91,7 +91,7 @@
 // be reached.
 func (a *relayAccess[C]) executeLocally(ctx context.Context, state connState, st Statement) (Result, error) {
 	if st.Verb == Reset {
-		return a.engine.resetLocally(ctx, a.upstream) // needs no slot
+		return a.engine.queryPositionLocally(ctx, a.upstream)
 	}
 	a.tx = nil
 	a.local = a.engine.newLocalAccess(a.upstream, a.term, a.request)
--- a/internal/engine/relay_holder.go
+++ b/internal/engine/relay_holder.go
@@ -107,7 +107,7 @@
 	case h.refusesWork():
 		return relayReply{Refusal: leavingRefusal()}
 	case req.Statement.Verb == Reset:
-		return h.reset(ctx, req)
+		return h.queryPosition(ctx, req)
 	}
 	a := h.newAccess(req)
 	defer a.close()
@@ -194,12 +194,12 @@
 	return r
 }
 
-// reset answers a query for the position of an upstream.
-func (h *relayHolder[C]) reset(ctx context.Context, req relayRequest) relayReply {
+// queryPosition answers a query for the position of an upstream.
+func (h *relayHolder[C]) queryPosition(ctx context.Context, req relayRequest) relayReply {
 	ctx, cancel := untilDeadline(ctx)
 	defer cancel()
 	sentAt := clock.Now()
-	result, err := h.engine.resetLocally(ctx, h.announced(req.Upstream))
+	result, err := h.engine.queryPositionLocally(ctx, h.announced(req.Upstream))
 	if err != nil {
 		return relayReply{Refusal: unavailableRefusal(err)}
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -264,7 +264,8 @@
 }
 
 // committed records the point of the session's latest commit.
-func (s *Session[C]) committed(g topo.GroupID, p topo.Point) {
+func (s *Session[C]) committed(g topo.GroupID, reported topo.ReportedPoint) {
+	p, _ := reported.Point()
 	if p.Compare(s.lastCommits[g].point) > 0 {
 		s.lastCommits[g] = commitPoint{p, clock.Now()}
 	}
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -27,11 +27,14 @@
 	// Reset clears the values and prepared statements of a connection. Callers
 	// do not send it.
 	Reset
+	// Status queries the upstream's position. Unlike the answers to other statements, its
+	// answer consists of it; but it needs a slot. Callers do not send it.
+	Status
 )
 
 // String names the verb for logs.
 func (v Verb) String() string {
-	names := [...]string{"", "begin", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate", "reset"}
+	names := [...]string{"", "begin", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate", "reset", "status"}
 	if v < 0 || int(v) >= len(names) {
 		return "unknown"
 	}
@@ -145,7 +148,7 @@
 	Detail string  `msgpack:"d,omitempty"`
 	State  TxState `msgpack:"s"`
 	// Point is the end of the upstream's log as of the answer.
-	Point topo.Point `msgpack:"p"`
+	Point topo.ReportedPoint `msgpack:"p"`
 }
 
 // Conn is one connection to an upstream. One goroutine uses it at a time.
