control, platform: a database that reports no position is neither chosen nor taken for empty

What callers would see: after a failover in which STATUS came without a position, reads without a condition, and commits that the promoted database lacks.

Cause: the position "-" in the row of STATUS became TERM.0. A fenced database was ranked by it, its term first; a term whose primary answered so began at position 0, and Group.Clamp then lowers the position that a read requires of earlier terms to 0.

Fix: dbapi.Status carries a ReportedPoint, and the term of the log by itself. Role, term and fence work without a position, so probes and steps to follow a primary do. What callers get meanwhile: writes are refused as not run for lack of a primary, and reads go to replicas as during any failover.

The fake databases of internal/control report a position now; their assertions are as before.

--- a/internal/control/databases.go
+++ b/internal/control/databases.go
@@ -83,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.c.timing.Call)
 	defer cancel()
 	s, err := l.c.db.Status(ctx, dbapi.Location{Group: k.Group, ID: k.ID, Addr: k.Addr})
-	return max(s.Point.Term, s.FencedTerm, 1), err
+	return max(s.Term, s.FencedTerm, 1), err
 }
 
 // ensureFollowing sends each database except the primary a command to follow the
--- a/internal/control/driver_commands.go
+++ b/internal/control/driver_commands.go
@@ -128,7 +128,7 @@
 	defer cancel()
 	status, err := run.fenceAt(ctx, locationOf(run.group, db), t)
 	if err == nil {
-		return failover.FenceConfirmed{Attempt: run.attempt, Database: db.ID, Point: status.Point, Leaving: run.leadership.mustLeave(run.group, db.ID)}, nil
+		return run.fenceConfirmed(db, status)
 	}
 	if !errors.Is(err, dbapi.ErrHigherTerm) {
 		return nil, err
@@ -140,6 +140,16 @@
 	return failover.FenceHigherTerm{Attempt: run.attempt, Fenced: status.FencedTerm}, nil
 }
 
+// fenceConfirmed returns the event of a fenced database. One that does not report the end
+// of its log can't be compared with the others, so it is not ready to be chosen.
+func (run commandRun) fenceConfirmed(db ctlstate.Database, status dbapi.Status) (failover.Event, error) {
+	end, err := status.LogEnd()
+	if err != nil {
+		return nil, err
+	}
+	return failover.FenceConfirmed{Attempt: run.attempt, Database: db.ID, Point: end, Leaving: run.leadership.mustLeave(run.group, db.ID)}, nil
+}
+
 // catchUpTarget fences only the old primary and lets the target of a planned
 // switchover copy the rest of the primary's log. If that fails, the attempt
 // continues as a failover.
@@ -150,13 +160,23 @@
 	if !ok {
 		return
 	}
+	if err := run.copyRest(ctx, c, target); err != nil {
+		klog.Warningf("control: switchover of %s: %s did not catch up with the primary: %v", run.group, c.Target, err)
+	}
+}
+
+// copyRest fences the old primary and waits until the target has its whole log.
+func (run commandRun) copyRest(ctx context.Context, c failover.Fence, target ctlstate.Database) error {
 	old, err := run.fenceAt(ctx, primaryOf(run.record), c.Term)
-	if err == nil {
-		_, err = run.leadership.c.db.Wait(ctx, locationOf(run.group, target), old.Point, run.leadership.c.timing.CatchUp)
+	if err != nil {
+		return err
 	}
+	end, err := old.LogEnd()
 	if err != nil {
-		klog.Warningf("control: switchover of %s: %s did not catch up with the primary: %v", run.group, c.Target, err)
+		return err
 	}
+	_, err = run.leadership.c.db.Wait(ctx, locationOf(run.group, target), end, run.leadership.c.timing.CatchUp)
+	return err
 }
 
 func (run commandRun) fenceAt(ctx context.Context, at dbapi.Location, t topo.Term) (dbapi.Status, error) {
--- a/internal/control/permit_test.go
+++ b/internal/control/permit_test.go
@@ -60,6 +60,16 @@
 	sent []sentCommand
 	// beforeSend, if not nil, runs between the controller's call and the check.
 	beforeSend func(name string)
+	// omitsPosition makes the databases answer without their position.
+	omitsPosition atomic.Bool
+}
+
+func (r *recordedDatabases) status(at dbapi.Location) dbapi.Status {
+	s := dbapi.Status{ID: at.ID, Term: 1}
+	if !r.omitsPosition.Load() {
+		s.Point = topo.Reported(topo.Point{Term: 1, Position: 7})
+	}
+	return s
 }
 
 func (r *recordedDatabases) send(p dbapi.Permit, name string, at dbapi.Location, t topo.Term) (dbapi.Status, error) {
@@ -72,7 +82,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent = append(r.sent, sentCommand{name, t})
-	return dbapi.Status{ID: at.ID}, nil
+	return r.status(at), nil
 }
 
 func (r *recordedDatabases) count(name string) int { return len(r.terms(name)) }
@@ -91,11 +101,11 @@
 }
 
 func (r *recordedDatabases) Status(_ context.Context, at dbapi.Location) (dbapi.Status, error) {
-	return dbapi.Status{ID: at.ID}, nil
+	return r.status(at), nil
 }
 
 func (r *recordedDatabases) Wait(_ context.Context, at dbapi.Location, _ topo.Point, _ time.Duration) (dbapi.Status, error) {
-	return dbapi.Status{ID: at.ID}, nil
+	return r.status(at), nil
 }
 
 func (r *recordedDatabases) Fence(_ context.Context, p dbapi.Permit, at dbapi.Location, t topo.Term) (dbapi.Status, error) {
@@ -311,3 +321,25 @@
 	require.Less(t, b.Status().FencedTerm, topo.Term(term))
 	require.Equal(t, topo.RoleReplica, b.Status().Role)
 }
+
+// Guards against a database that is promoted although it did not say how much of the log it
+// has: another one may have acknowledged writes that it lacks.
+func TestDatabasesWithoutPositionAreNotChosen(t *testing.T) {
+	t.Parallel()
+	s := startSuspension(t)
+	s.after("begun", func() { s.databases.omitsPosition.Store(true) })
+	require.Error(t, s.switchover(suspensionLimit))
+	require.NotZero(t, s.databases.count("fence"))
+	require.Zero(t, s.databases.count("promote"))
+	s.databases.omitsPosition.Store(false)
+	require.Eventually(t, func() bool { return s.databases.count("promote") == 1 }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a switchover to a database that is not known to have the primary's log.
+func TestSwitchoverNeedsThePositions(t *testing.T) {
+	t.Parallel()
+	s := startSuspension(t)
+	s.databases.omitsPosition.Store(true)
+	require.ErrorIs(t, s.switchover(5*time.Second), dbapi.ErrNoPosition)
+	require.Zero(t, s.databases.count("fence"))
+}
--- a/internal/control/switchover.go
+++ b/internal/control/switchover.go
@@ -50,12 +50,20 @@
 	if err != nil {
 		return err
 	}
-	s, err := c.db.Wait(ctx, locationOf(record.ID, target), p.Point, c.timing.CatchUp)
+	want, err := p.LogEnd()
+	if err != nil {
+		return fmt.Errorf("the primary: %w", err)
+	}
+	s, err := c.db.Wait(ctx, locationOf(record.ID, target), want, c.timing.CatchUp)
 	if err != nil {
 		return err
 	}
-	if !topo.Covers(s.Point, p.Point) {
-		return fmt.Errorf("%s is at %s, the primary at %s", target.ID, s.Point, p.Point)
+	have, err := s.LogEnd()
+	if err != nil {
+		return fmt.Errorf("%s: %w", target.ID, err)
+	}
+	if !topo.Covers(have, want) {
+		return fmt.Errorf("%s is at %s, the primary at %s", target.ID, have, want)
 	}
 	return nil
 }
--- a/internal/control/writer_test.go
+++ b/internal/control/writer_test.go
@@ -179,7 +179,8 @@
 				return
 			}
 			s, err := w.db.Wait(ctx, dbapi.Location{Group: group, ID: u.ID, Addr: u.Addr}, p, writeTimeout)
-			answers <- err == nil && s.FencedTerm <= a.Term && topo.Covers(s.Point, p)
+			end, known := s.Point.Point()
+			answers <- err == nil && s.FencedTerm <= a.Term && known && topo.Covers(end, p)
 		}()
 	}
 	for range others {
--- a/internal/dbapi/dbapi.go
+++ b/internal/dbapi/dbapi.go
@@ -17,6 +17,9 @@
 // ErrBusy means that the database answered but had no capacity for the request.
 var ErrBusy = errors.New("database: busy")
 
+// ErrNoPosition means that the database answered without the position of its log.
+var ErrNoPosition = errors.New("database: reported no position")
+
 // Location is the address of one database of a group.
 type Location struct {
 	Group topo.GroupID
@@ -28,14 +31,26 @@
 type Status struct {
 	ID   topo.UpstreamID
 	Role topo.Role
+	// Term is the term of the database's log.
+	Term topo.Term
 	// Point is the end of the database's log.
-	Point topo.Point
+	Point topo.ReportedPoint
 	// FencedTerm is the lowest term whose writes the database accepts.
 	FencedTerm topo.Term
 	// Began is set by Promote if databases number their terms themselves.
 	Began topo.TermStart
 }
 
+// LogEnd returns the end of the database's log.
+// Error: ErrNoPosition when the database did not report it.
+func (s Status) LogEnd() (topo.Point, error) {
+	p, known := s.Point.Point()
+	if !known {
+		return topo.Point{}, ErrNoPosition
+	}
+	return p, nil
+}
+
 // Prober queries the state of databases.
 type Prober interface {
 	Status(ctx context.Context, at Location) (Status, error)
--- a/internal/dbcontrol/dbcontrol.go
+++ b/internal/dbcontrol/dbcontrol.go
@@ -214,7 +214,8 @@
 	return Status{
 		ID:         topo.UpstreamID(row[0]),
 		Role:       topo.Role(row[2]),
-		Point:      topo.Point{Term: topo.Term(numbers[0]), Position: topo.Position(numbers[1])},
+		Term:       topo.Term(numbers[0]),
+		Point:      topo.Reported(topo.Point{Term: topo.Term(numbers[0]), Position: topo.Position(numbers[1])}),
 		FencedTerm: topo.Term(numbers[2]),
 	}, nil
 }
