upstream: a connection needs the database's point, and an unreadable one breaks it

What callers would see: a read that misses the session's own commit, or a commit that is acknowledged before a second database has it, where a PostgreSQL database reports no point or one that can't be read.

Cause: Conn.setPoint ignored such a point, so that a connection began at the zero point, and a commit got the point of the answer before it.

Fix: docs/design/002 has the point sent before the first ReadyForQuery and whenever it has changed, so an absent one means "unchanged" later, and is an error only at the start: Connect fails. An unreadable one is an error of the answer: the connection is broken, and a commit whose answer it was ends as unknown.

Test: TestConnectionNeedsThePoint failed before ("an error is expected but got nil"). internal/entry, scenario, cluster, cli and node pass.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -94,7 +94,8 @@
 }
 
 // Connect opens a connection that writes under term; with term 0 it is for reads
-// only.
+// only. It fails if the upstream does not report its point: a point that is absent later
+// means that it has not changed.
 func Connect(ctx context.Context, t Target, term topo.Term) (*Conn, error) {
 	cfg, err := connectConfig(t, term)
 	if err != nil {
@@ -114,7 +115,10 @@
 		return nil, &ConnectError{Upstream: t.ID, Err: err}
 	}
 	c := &Conn{target: t, term: term, conn: h.Conn, frontend: h.Frontend, pid: h.PID, secret: h.SecretKey, tx: h.TxStatus, prepared: map[string]bool{}, answeredAt: time.Now()}
-	c.setPoint(h.ParameterStatuses[ParamPoint])
+	if err := c.setPoint(h.ParameterStatuses[ParamPoint]); err != nil {
+		c.Close()
+		return nil, &ConnectError{Upstream: t.ID, Err: err}
+	}
 	return c, nil
 }
 
@@ -260,8 +264,7 @@
 	switch m := msg.(type) {
 	case *pgproto3.ParameterStatus:
 		if m.Name == ParamPoint {
-			c.setPoint(m.Value)
-			return nil
+			return c.setPoint(m.Value)
 		}
 	case *pgproto3.ErrorResponse:
 		if a.Err == nil {
@@ -276,10 +279,15 @@
 	return sink(msg)
 }
 
-func (c *Conn) setPoint(text string) {
-	if p, err := topo.ParsePoint(text); err == nil {
-		c.point = p
+// setPoint records the point that the upstream reports. A commit must not be taken for
+// an earlier one, so an unreadable point is an error.
+func (c *Conn) setPoint(text string) error {
+	p, err := topo.ParsePoint(text)
+	if err != nil {
+		return fmt.Errorf("upstream %s: %s: %w", c.target.ID, ParamPoint, err)
 	}
+	c.point = p
+	return nil
 }
 
 // Exec sends one simple query and reads its answer. rows holds the text
