engine: a position of another instance is used only if it is known and has an age

Found in looking for the cause at related places.

Cause: positions between instances had no way to say none, and the reply to a query for one position could have an age below zero, which makes it newer than it is; only the list of the sampler was checked.

Fix: relayedPosition carries a ReportedPoint, whose flag older instances don't send, and one function checks both kinds of reply. Positions of older instances are ignored while a fleet is updated; instances then query the primary themselves, as they do without a sampler.

Test: TestPositionsOfOtherInstancesAreChecked failed before (a sample was known in the cases "none" and "from the future").

--- a/internal/engine/position_test.go
+++ b/internal/engine/position_test.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"context"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
+	"github.com/cicadacove/cicadacove/internal/peer"
 )
 
 // answersWithout makes the upstreams answer statements of these verbs without a position.
@@ -137,3 +140,66 @@
 	require.True(t, member.Available(time.Now()))
 	require.EqualValues(t, 1, e.pools.Stats(db.primary).Idle, "the connection is kept")
 }
+
+// sentPoint and sentPosition are what another instance sends of a position. One that doesn't
+// know that a position may be absent sends no flag.
+type sentPoint struct {
+	Term     topo.Term     `msgpack:"t"`
+	Position topo.Position `msgpack:"p"`
+	Known    bool          `msgpack:"k,omitempty"`
+}
+
+type sentPosition struct {
+	ID    topo.GroupID  `msgpack:"i"`
+	Known bool          `msgpack:"k"`
+	Point sentPoint     `msgpack:"p"`
+	Age   time.Duration `msgpack:"a"`
+}
+
+type sentPositions struct {
+	Positions []sentPosition `msgpack:"p"`
+}
+
+// Guards against positions of other instances that are taken for the start of the log, since
+// their sender doesn't tell none from zero, or for newer than they are.
+func TestPositionsOfOtherInstancesAreChecked(t *testing.T) {
+	cases := []struct {
+		name  string
+		point sentPoint
+		age   time.Duration
+		known bool
+	}{
+		{"none", sentPoint{}, 0, false},
+		{"from the future", sentPoint{3, 9, true}, -time.Minute, false},
+		{"in order", sentPoint{3, 9, true}, time.Second, true},
+		{"the start of the log", sentPoint{0, 0, true}, time.Second, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server, client := peer.NewServer(peer.Options{}), peer.NewClient(peer.Options{})
+			t.Cleanup(func() { client.Close(); _ = server.Close() })
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			go func() { _ = server.Serve(ln) }()
+			p := sentPosition{group, true, tc.point, tc.age}
+			peer.Handle(server, kindPosition, func(context.Context, positionRequest) (sentPosition, error) { return p, nil })
+			peer.Handle(server, kindPositions, func(context.Context, positionsRequest) (sentPositions, error) {
+				return sentPositions{[]sentPosition{p}}, nil
+			})
+			query := map[string]func(e *Engine[*fakeConn]){
+				"one":  func(e *Engine[*fakeConn]) { e.queryPeers(t.Context(), group) },
+				"list": func(e *Engine[*fakeConn]) { require.NoError(t, e.queryPositions(t.Context(), ln.Addr().String(), nil)) },
+			}
+			for name, ask := range query {
+				e := newEngine(newFakeGroup())
+				e.opts.Peers = Peers{Client: client, Others: func() []string { return []string{ln.Addr().String()} }}
+				ask(e)
+				got, _, known := e.groups.Get(group).LatestSample()
+				require.Equal(t, tc.known, known, name)
+				if known {
+					require.Equal(t, topo.Point{Term: tc.point.Term, Position: tc.point.Position}, got, name)
+				}
+			}
+		})
+	}
+}
--- a/internal/engine/positions.go
+++ b/internal/engine/positions.go
@@ -25,11 +25,28 @@
 }
 
 // positionReply is the latest position of the primary that the instance has
-// observed. Age is the time since the instance sent its query to the primary.
+// observed.
 type positionReply struct {
-	Known bool          `msgpack:"k"`
-	Point topo.Point    `msgpack:"p"`
-	Age   time.Duration `msgpack:"a"`
+	// Known is false if the instance has observed none.
+	Known bool `msgpack:"k"`
+	relayedPosition
+}
+
+// relayedPosition is a position of a primary that another instance has observed. Age is the
+// time since that instance sent its query to the primary.
+type relayedPosition struct {
+	Point topo.ReportedPoint `msgpack:"p"`
+	Age   time.Duration      `msgpack:"a"`
+}
+
+// observeRelayed records a position that another instance reported to a request of this one,
+// sent at sentAt. The age of the position counts from then, so that a delay only makes it
+// look older.
+func (e *Engine[C]) observeRelayed(id topo.GroupID, p relayedPosition, sentAt time.Time) {
+	point, known := p.Point.Point()
+	if known && p.Age >= 0 {
+		e.groups.Get(id).ObservePrimary(point, sentAt.Add(-p.Age))
+	}
 }
 
 // Peers connects to the other entry instances.
@@ -51,7 +68,7 @@
 	}
 	peer.Handle(e.opts.Peers.Server, kindPosition, func(_ context.Context, req positionRequest) (positionReply, error) {
 		p, at, known := e.groups.Get(req.Group).LatestSample()
-		return positionReply{Known: known, Point: p, Age: clock.Since(at)}, nil
+		return positionReply{known, relayedPosition{topo.Reported(p), clock.Since(at)}}, nil
 	})
 	peer.Handle(e.opts.Peers.Server, kindPositions, e.onPositions)
 	peer.Handle(e.opts.Peers.Server, kindRelay, e.held.handle)
@@ -61,9 +78,7 @@
 	})
 }
 
-// queryPeers queries the other instances for a primary's position. The age in the
-// reply is counted from the time at which the query was sent, so network delay
-// only makes the position look older.
+// queryPeers queries the other instances for a primary's position.
 func (e *Engine[C]) queryPeers(ctx context.Context, id topo.GroupID) {
 	if e.opts.Peers.Others == nil {
 		return
@@ -78,7 +93,7 @@
 				return
 			}
 			if reply.Known {
-				e.groups.Get(id).ObservePrimary(reply.Point, sentAt.Add(-reply.Age))
+				e.observeRelayed(id, reply.relayedPosition, sentAt)
 			}
 		})
 	}
--- a/internal/engine/sampler.go
+++ b/internal/engine/sampler.go
@@ -49,12 +49,10 @@
 	Positions []groupPosition `msgpack:"p"`
 }
 
-// groupPosition is the position of one group's primary. Age is the time since the
-// sampler sent its query to the primary.
+// groupPosition is the position of one group's primary.
 type groupPosition struct {
-	ID    topo.GroupID  `msgpack:"i"`
-	Point topo.Point    `msgpack:"p"`
-	Age   time.Duration `msgpack:"a"`
+	ID topo.GroupID `msgpack:"i"`
+	relayedPosition
 }
 
 // onPositions answers an instance for which this one samples.
@@ -68,7 +66,7 @@
 	e.groups.Each(func(id topo.GroupID, g *groupstate.Group) {
 		p, at, known := g.LatestSample()
 		if age := now.Sub(at); known && age <= maxRelayedAge {
-			reply.Positions = append(reply.Positions, groupPosition{ID: id, Point: p, Age: age})
+			reply.Positions = append(reply.Positions, groupPosition{id, relayedPosition{topo.Reported(p), age}})
 		}
 	})
 	return reply, nil
@@ -128,8 +126,7 @@
 	}
 }
 
-// queryPositions asks the sampler once. The age of a position counts from the time
-// at which this instance sent its request, so that a delay only makes it look older.
+// queryPositions asks the sampler once.
 func (e *Engine[C]) queryPositions(ctx context.Context, sampler string, due map[topo.GroupID]*groupstate.Group) error {
 	ctx, cancel := context.WithTimeout(ctx, samplerTimeout)
 	defer cancel()
@@ -143,9 +140,7 @@
 		return fmt.Errorf("%s: %w", kindPositions, err)
 	}
 	for _, p := range reply.Positions {
-		if p.Age >= 0 {
-			e.groups.Get(p.ID).ObservePrimary(p.Point, sentAt.Add(-p.Age))
-		}
+		e.observeRelayed(p.ID, p.relayedPosition, sentAt)
 	}
 	return nil
 }
