core/document: a first configuration of version 0 comes into force

PROTOCOL.md doesn't exclude it, so refusing it would refuse a valid order.

Cause: 0 is also the version of an instance without a configuration. Section.Delta and Machine.SectionDelta took the two for equal and sent nothing.

Fix: Section.Delta always returns a document of version 0, which is the only one that a reader at version 0 may lack or have; one that has it ignores it. ctlstate asks the section and compares nothing itself.

--- a/internal/core/ctlstate/read.go
+++ b/internal/core/ctlstate/read.go
@@ -170,11 +170,11 @@
 }
 
 // SectionDelta returns the encoded changes that bring a reader from the given
-// revision of the section to the latest one.
+// revision of the section to the latest one, nil if there are none.
 func (m *Machine) SectionDelta(from uint64) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.section == nil || m.section.Revision() <= from {
+	if m.section == nil {
 		return nil
 	}
 	return m.section.Delta(from)
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -125,11 +125,12 @@
 }
 
 // Delta returns the encoded document for a reader at the given version, nil if
-// there is no later version.
+// there is no later version. A reader without a document is at version 0 too, so that a
+// document of that version is always returned.
 func (s *Section) Delta(from uint64) []byte {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if s.current == nil || s.current.Version <= from {
+	if s.current == nil || s.current.Version <= from && s.current.Version > 0 {
 		return nil
 	}
 	return codec.Marshal(*s.current)
--- a/internal/core/document/document_test.go
+++ b/internal/core/document/document_test.go
@@ -31,6 +31,22 @@
 	require.Equal(t, d, got)
 }
 
+// Guards against a first document of version 0 that no reader gets, since 0 is also the
+// version of a reader without a document.
+func TestVersionZeroReachesReaders(t *testing.T) {
+	s := NewSection()
+	require.Nil(t, s.Delta(0))
+	require.Equal(t, Result{Version: 0, Accepted: true}, put(t, s, 0, "zero"))
+	d, err := Decode(s.Delta(0))
+	require.NoError(t, err)
+	require.Equal(t, "zero", string(d.Content))
+	require.Equal(t, Result{Version: 1, Accepted: true}, put(t, s, 1, "one"))
+	d, err = Decode(s.Delta(0))
+	require.NoError(t, err)
+	require.Equal(t, "one", string(d.Content))
+	require.Nil(t, s.Delta(1))
+}
+
 func TestMalformedCommandChangesNothing(t *testing.T) {
 	s := NewSection()
 	put(t, s, 1, "one")
