--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -314,11 +314,15 @@
 		return errNoAuthority
 	}
 	e.opts.Control.ReportPrimary(id, auth.Term, true)
+	g := e.groups.Get(id)
 	point, known := result.Point.Point()
+	if g.ObservePositionReport(known) {
+		e.opts.Events.PositionReported(id, auth.Primary.ID, known)
+	}
 	if !known {
 		return errNoPosition
 	}
-	e.groups.Get(id).ObservePrimary(point, sentAt)
+	g.ObservePrimary(point, sentAt)
 	return nil
 }
 
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -51,6 +51,10 @@
 	// UpstreamFailing reports that an upstream has started or stopped failing
 	// most of the statements that it answers.
 	UpstreamFailing(id topo.UpstreamID, rate float64, failing bool)
+	// PositionReported reports that the primary has started or stopped to report its
+	// position when it is asked for it. Without, reads wait for positions that other
+	// answers carry, and go to the primary.
+	PositionReported(g topo.GroupID, primary topo.UpstreamID, reported bool)
 	// UpstreamPaced reports that the pace of an upstream has become limited after
 	// a start or recovery, or full again.
 	UpstreamPaced(topo.UpstreamID, pace.Change)
@@ -64,4 +68,6 @@
 
 func (noEvents) UpstreamFailing(topo.UpstreamID, float64, bool) {}
 
+func (noEvents) PositionReported(topo.GroupID, topo.UpstreamID, bool) {}
+
 func (noEvents) UpstreamPaced(topo.UpstreamID, pace.Change) {}
--- a/internal/engine/position_test.go
+++ b/internal/engine/position_test.go
@@ -133,12 +133,29 @@
 	db := newFakeGroup()
 	db.answersWithout(Reset, Status)
 	e := newEngine(db)
-	require.ErrorIs(t, e.samplePrimary(t.Context(), group), errNoPosition)
+	events := &positionEvents{}
+	e.opts.Events = events
+	for range 2 {
+		require.ErrorIs(t, e.samplePrimary(t.Context(), group), errNoPosition)
+	}
 	_, _, known := e.groups.Get(group).LatestSample()
 	require.False(t, known)
 	member, _ := e.pools.Lookup(db.primary)
 	require.True(t, member.Available(time.Now()))
 	require.EqualValues(t, 1, e.pools.Stats(db.primary).Idle, "the connection is kept")
+	db.answersWithout(Reset)
+	require.NoError(t, e.samplePrimary(t.Context(), group))
+	require.Equal(t, []bool{false, true}, events.reported, "changes are reported once")
+}
+
+// positionEvents records reports of the primary's position.
+type positionEvents struct {
+	noEvents
+	reported []bool
+}
+
+func (p *positionEvents) PositionReported(_ topo.GroupID, _ topo.UpstreamID, reported bool) {
+	p.reported = append(p.reported, reported)
 }
 
 // sentPoint and sentPosition are what another instance sends of a position. One that doesn't
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -113,6 +113,8 @@
 	lastRead  time.Time
 	minMaxAge time.Duration
 	sampling  bool
+	// positionMissing means that the primary was last asked for its position and did not report it.
+	positionMissing bool
 	// sampled is closed at the next sample; nil while there is no waiter.
 	sampled chan struct{}
 	// postSlotTime is the time that a write takes after the release of its
--- a/internal/groupstate/positions.go
+++ b/internal/groupstate/positions.go
@@ -75,6 +75,16 @@
 	g.sampling = false
 }
 
+// ObservePositionReport records whether the primary reported its position when it was asked
+// for it. changed means that it did otherwise the last time.
+func (g *Group) ObservePositionReport(reported bool) (changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed = g.positionMissing == reported
+	g.positionMissing = !reported
+	return changed
+}
+
 // Lag returns the typical replication lag of a replica.
 func (g *Group) Lag(id topo.UpstreamID) time.Duration {
 	g.mu.Lock()
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -109,6 +109,11 @@
 	o.logChange("engine: upstream failure state changed", "upstream", string(id), "failing", failing, "rate", rate)
 }
 
+// PositionReported implements engine.Events.
+func (o *Observer) PositionReported(g topo.GroupID, primary topo.UpstreamID, reported bool) {
+	o.logChange("engine: report of the primary's position changed", "group", string(g), "upstream", string(primary), "reported", reported)
+}
+
 // UpstreamPaced implements engine.Events.
 func (o *Observer) UpstreamPaced(id topo.UpstreamID, c pace.Change) {
 	o.logChange("engine: upstream pace changed", "upstream", string(id), "limited", c.Limited,
