engine: an answer of the primary without a position leaves the other instances' answers to count

What callers would see: a read that accepts older data went to the primary after a wait of 100 ms, although another instance knew the primary's position.

Cause: firstSample cancelled the queries to the others as soon as the primary had answered, also without a position or with an error.

--- a/internal/engine/position_test.go
+++ b/internal/engine/position_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadacove/cicadacove/internal/clock"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/peer"
@@ -128,6 +129,28 @@
 	require.Equal(t, f.db.position, f.db.lastRun("y").point.Position)
 }
 
+// Guards against a read that goes to the primary although another instance knows the
+// primary's position, which the primary itself does not report.
+func TestPositionOfAnotherInstanceReplacesAnAbsentOne(t *testing.T) {
+	db := newFakeGroup()
+	db.bare = func(Statement) bool { return true }
+	server, client := peer.NewServer(peer.Options{}), peer.NewClient(peer.Options{})
+	t.Cleanup(func() { client.Close(); _ = server.Close() })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(ln) }()
+	other, e := newEngine(db), newEngine(db)
+	other.opts.Peers.Server = server
+	other.handlePeers()
+	other.groups.Get(group).ObservePrimary(db.point(db.primary), clock.Now())
+	e.opts.Peers = Peers{Client: client, Others: func() []string { return []string{ln.Addr().String()} }}
+	c := open(t, e, "old")
+	require.Equal(t, outcome.Done, c.read("x").Outcome.Kind)
+	require.Equal(t, topo.UpstreamID("b"), db.lastRun("x").upstream)
+	require.Eventually(t, func() bool { return e.groups.Get(group).StartFirstSample(time.Nanosecond, clock.Now()) }, time.Second, time.Millisecond,
+		"the query has ended")
+}
+
 // Guards against a primary that counts as unreachable because it answers without a position.
 func TestPrimaryWithoutPositionIsReachable(t *testing.T) {
 	db := newFakeGroup()
--- a/internal/engine/primary_position.go
+++ b/internal/engine/primary_position.go
@@ -47,23 +47,38 @@
 }
 
 // firstSample queries the primary and the other instances for the primary's
-// position; the first answer counts.
+// position, and finishes the sample that StartFirstSample started. The first position
+// counts; an answer of the primary without one ends no other query.
 func (e *Engine[C]) firstSample(id topo.GroupID, g *groupstate.Group) {
+	defer g.EndSample()
 	ctx, cancel := context.WithTimeout(context.Background(), positionTimeout)
 	defer cancel()
-	go e.queryPeers(ctx, id)
-	e.sample(ctx, id, g)
+	others := make(chan struct{})
+	go func() {
+		defer close(others)
+		e.queryPeers(ctx, id)
+	}()
+	if !e.trySample(ctx, id) {
+		<-others
+	}
 }
 
 // sample queries the primary's position and finishes the sample that
-// StartSampleAfter or StartFirstSample started.
+// StartSampleAfter started.
 func (e *Engine[C]) sample(ctx context.Context, id topo.GroupID, g *groupstate.Group) {
 	defer g.EndSample()
 	ctx, cancel := context.WithTimeout(ctx, positionTimeout)
 	defer cancel()
-	if err := e.samplePrimary(ctx, id); err != nil {
+	e.trySample(ctx, id)
+}
+
+// trySample queries the primary's position and reports whether it is known.
+func (e *Engine[C]) trySample(ctx context.Context, id topo.GroupID) bool {
+	err := e.samplePrimary(ctx, id)
+	if err != nil {
 		klog.V(2).Infof("engine: failed to query the position of the primary of %s: %v", id, err)
 	}
+	return err == nil
 }
 
 // samplePrimary queries the primary's position. An answer without a position is no
