--- a/internal/engine/primary_position.go
+++ b/internal/engine/primary_position.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -58,7 +59,7 @@
 		defer close(others)
 		e.queryPeers(ctx, id)
 	}()
-	if !e.trySample(ctx, id) {
+	if errors.Is(e.trySample(ctx, id), errNoPosition) {
 		<-others
 	}
 }
@@ -69,16 +70,16 @@
 	defer g.EndSample()
 	ctx, cancel := context.WithTimeout(ctx, positionTimeout)
 	defer cancel()
-	e.trySample(ctx, id)
+	_ = e.trySample(ctx, id) // it is logged
 }
 
-// trySample queries the primary's position and reports whether it is known.
-func (e *Engine[C]) trySample(ctx context.Context, id topo.GroupID) bool {
+// trySample is samplePrimary, except that it logs the error.
+func (e *Engine[C]) trySample(ctx context.Context, id topo.GroupID) error {
 	err := e.samplePrimary(ctx, id)
 	if err != nil {
 		klog.V(2).Infof("engine: failed to query the position of the primary of %s: %v", id, err)
 	}
-	return err == nil
+	return err
 }
 
 // samplePrimary queries the primary's position. An answer without a position is no
