--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,9 +108,16 @@
 	// renewedAt is when the last successful renewal was answered; isolatedSince
 	// is zero unless this instance is isolated.
 	renewedAt, isolatedSince time.Time
-	controlState             *ctlstate.Replica
-	registry                 *membership.Registry
-	tracker                  *upstreamTracker
+	// configConfirmedAt is when the latest renewal was sent whose answer showed that
+	// config has the latest revision; zero before the first.
+	configConfirmedAt time.Time
+	// failedRenewals counts the failed attempts to register or to renew since renewedAt,
+	// renewalError is the latest error.
+	failedRenewals int
+	renewalError   error
+	controlState   *ctlstate.Replica
+	registry       *membership.Registry
+	tracker        *upstreamTracker
 	// voters are the control voters by the last renewal, at first the seeds. seeds and
 	// contacts are asked too while the leader is unknown; see SetSeeds and learnContacts.
 	voters, seeds, contacts []string
@@ -406,6 +413,17 @@
 	return a.holder.Valid(a.now())
 }
 
+// ConfigAge returns the time since the renewal was sent whose answer last showed that the
+// configuration was the latest. known is false before the first one.
+func (a *Agent) ConfigAge() (age time.Duration, known bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.configConfirmedAt.IsZero() {
+		return 0, false
+	}
+	return a.now().Sub(a.configConfirmedAt), true
+}
+
 // Registered reports whether the instance has been granted a lease and has not left
 // since.
 func (a *Agent) Registered() bool {
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		if err != nil {
-			klog.V(2).Infof("agent: %s: failed to register or to renew the lease: %v", a.opts.Self.ID, err)
+			a.recordFailedRenewal(err)
 			delay = jitter(backoff)
 			backoff = min(2*backoff, a.maxBackoff())
 		} else {
@@ -95,6 +95,15 @@
 	}
 }
 
+// recordFailedRenewal keeps the error for the lines about the expired lease.
+func (a *Agent) recordFailedRenewal(err error) {
+	klog.V(2).Infof("agent: %s: failed to register or to renew the lease: %v", a.opts.Self.ID, err)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failedRenewals++
+	a.renewalError = err
+}
+
 // errLeaderFound ends an attempt to get a lease because a leader announced itself
 // meanwhile. The attempt may wait for voters that do not answer.
 var errLeaderFound = errors.New("agent: a leader has announced itself")
@@ -230,18 +239,14 @@
 func (a *Agent) applyRenewal(sentAt time.Time, renewed ctlwire.Renewed) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := membership.ConfirmedEpoch(a.controlState.Epochs)
+	before, formerRevision := membership.ConfirmedEpoch(a.controlState.Epochs), a.config.Revision()
 	updated := a.controlState.Apply(renewed.Delta, true)
 	a.holder.Renew(sentAt)
+	formerRenewal := a.renewedAt
 	a.renewedAt = a.now()
 	a.handleLeaseEvent(eventGranted)
-	var err error
-	if len(renewed.Config) > 0 {
-		err = a.config.Apply(renewed.Config)
-	}
-	if err != nil {
-		klog.ErrorS(err, "agent: configuration can't be applied", "instance", a.opts.Self.ID, "revision", a.config.Revision())
-	}
+	err := a.applyConfig(sentAt, renewed.Config)
+	a.logRegained(formerRenewal, formerRevision)
 	a.share = renewed.Share
 	if len(renewed.Voters) > 0 {
 		a.setVoters(renewed.Voters)
@@ -255,6 +260,36 @@
 	return err
 }
 
+// applyConfig applies the configuration of the answer to a renewal sent at sentAt; an
+// empty update means that the current one is the latest. The caller holds a.mu.
+func (a *Agent) applyConfig(sentAt time.Time, update []byte) error {
+	if len(update) > 0 {
+		if err := a.config.Apply(update); err != nil {
+			klog.ErrorS(err, "agent: configuration can't be applied", "instance", a.opts.Self.ID, "revision", a.config.Revision())
+			return err
+		}
+	}
+	if sentAt.After(a.configConfirmedAt) {
+		a.configConfirmedAt = sentAt
+	}
+	return nil
+}
+
+// logRegained logs that the lease has been renewed after it had expired. The caller
+// holds a.mu.
+func (a *Agent) logRegained(formerRenewal time.Time, formerRevision uint64) {
+	without := a.now().Sub(formerRenewal)
+	if !formerRenewal.IsZero() && without > a.timing.Lease {
+		reason := ""
+		if a.renewalError != nil {
+			reason = a.renewalError.Error()
+		}
+		klog.InfoS("agent: lease regained", "instance", a.opts.Self.ID, "renewed_ms_ago", without.Milliseconds(),
+			"failed_renewals", a.failedRenewals, "last_error", reason, "former_revision", formerRevision, "revision", a.config.Revision())
+	}
+	a.failedRenewals, a.renewalError = 0, nil
+}
+
 // confirmEpoch confirms a new epoch to the leader without waiting for the next
 // scheduled renewal.
 func (a *Agent) confirmEpoch() {
@@ -287,7 +322,8 @@
 		a.mu.Lock()
 		now := a.now()
 		if a.leaseState == stateHeld && !a.holder.Valid(now) {
-			klog.InfoS("agent: lease expired", "instance", a.opts.Self.ID, "renewed_ms_ago", now.Sub(a.renewedAt).Milliseconds(), "leader", a.leader)
+			klog.InfoS("agent: lease expired", "instance", a.opts.Self.ID, "renewed_ms_ago", now.Sub(a.renewedAt).Milliseconds(), "leader", a.leader,
+				"failed_renewals", a.failedRenewals, "revision", a.config.Revision())
 			a.handleLeaseEvent(eventExpired)
 		}
 		a.registry.Prune(now, forgetAfter)
--- a/internal/ctlview/ctlview.go
+++ b/internal/ctlview/ctlview.go
@@ -50,6 +50,11 @@
 	// IsolatedWithoutLease reports whether this instance is isolated and has no
 	// lease, so that it cannot expect one soon.
 	IsolatedWithoutLease() bool
+	// HasLease reports whether this instance's lease is valid now.
+	HasLease() bool
+	// ConfigAge returns the time since a leader last confirmed that the instance had the
+	// latest configuration; known is false before the first time.
+	ConfigAge() (age time.Duration, known bool)
 	// Config returns the latest configuration.
 	Config() *contract.Config
 	// View returns the active epoch, if the lease covers it now.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -145,21 +145,40 @@
 // session, the outcome gives the reason.
 func (e *Engine[C]) Open(database, key string) (*Session[C], outcome.Outcome) {
 	c := e.opts.Catalog()
+	digest := catalog.DigestKey(key)
+	if o, admitted := e.admitSession(c, database, digest); !admitted {
+		refusal := SessionRefusal{Database: database, Outcome: o, Basis: e.basis()}
+		if c != nil {
+			refusal.Config = c.Version
+		}
+		e.opts.Events.SessionRefused(refusal)
+		return nil, o
+	}
+	return newSession(e, database, digest), outcome.Outcome{}
+}
+
+// admitSession decides whether a session may be opened. The outcome is the reason if not.
+func (e *Engine[C]) admitSession(c *catalog.Catalog, database string, key catalog.KeyDigest) (o outcome.Outcome, admitted bool) {
 	if c == nil {
-		return nil, outcome.Refused(outcome.CodeNoUpstream, "this entry instance has no configuration yet")
+		return outcome.Refused(outcome.CodeNoUpstream, "this entry instance has no configuration yet"), false
 	}
 	route, ok := c.Routes[database]
 	if !ok {
-		return nil, noDatabase(database)
+		return noDatabase(database), false
 	}
-	digest := catalog.DigestKey(key)
-	if _, ok := authorize(c, route, digest); !ok {
-		return nil, unauthenticated()
+	if _, ok := authorize(c, route, key); !ok {
+		return unauthenticated(), false
 	}
 	if e.opts.Control.IsolatedWithoutLease() {
-		return nil, outcome.Refused(outcome.CodeNoPrimary, "this entry instance is isolated from the others")
+		return outcome.Refused(outcome.CodeNoPrimary, "this entry instance is isolated from the others"), false
 	}
-	return newSession(e, database, digest), outcome.Outcome{}
+	return outcome.Outcome{}, true
+}
+
+// basis returns what a decision by the configuration rests on now.
+func (e *Engine[C]) basis() Basis {
+	age, known := e.opts.Control.ConfigAge()
+	return Basis{ConfigAge: age, ConfigKnown: known, Leased: e.opts.Control.HasLease()}
 }
 
 func noDatabase(name string) outcome.Outcome {
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -27,8 +27,10 @@
 	// time since the primary had reached it.
 	Required    topo.Point
 	RequiredAge time.Duration
-	// Config is the version of the active configuration.
+	// Config is the version of the active configuration, Basis its confirmation when the
+	// statement was refused.
 	Config   uint64
+	Basis    Basis
 	Attempts int
 	// Held is how long the statement was held back in favour of more urgent
 	// work, UpstreamWait the mean wait in the upstream's queue at the latest
@@ -41,9 +43,29 @@
 	Undelivered string
 }
 
+// Basis is what a refusal by the configuration rested on.
+type Basis struct {
+	// ConfigAge is the time since a leader last confirmed that the configuration was the
+	// latest, ConfigKnown is false if none has.
+	ConfigAge   time.Duration
+	ConfigKnown bool
+	// Leased reports whether the instance held a lease.
+	Leased bool
+}
+
+// SessionRefusal describes a session that was refused when it was opened.
+type SessionRefusal struct {
+	Database string
+	Outcome  outcome.Outcome
+	// Config is the version of the active configuration, zero if there is none.
+	Config uint64
+	Basis  Basis
+}
+
 // Events receives notifications of decisions. Its methods must not block.
 type Events interface {
 	StatementEnded(StatementEnd)
+	SessionRefused(SessionRefusal)
 	// UpstreamLost reports that an upstream's circuit has opened after the
 	// error, UpstreamRecovered that it has closed again.
 	UpstreamLost(topo.UpstreamID, error)
@@ -63,6 +85,7 @@
 type noEvents struct{}
 
 func (noEvents) StatementEnded(StatementEnd)         {}
+func (noEvents) SessionRefused(SessionRefusal)       {}
 func (noEvents) UpstreamLost(topo.UpstreamID, error) {}
 func (noEvents) UpstreamRecovered(topo.UpstreamID)   {}
 
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -291,6 +291,14 @@
 	return list
 }
 
+func (db *fakeGroup) HasLease() bool {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return db.leased
+}
+
+func (db *fakeGroup) ConfigAge() (time.Duration, bool) { return 0, true }
+
 func (db *fakeGroup) IsolatedWithoutLease() bool {
 	db.mu.Lock()
 	defer db.mu.Unlock()
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -67,6 +67,9 @@
 	r.State = s.State()
 	err := s.deliver(&r, deliver)
 	s.event.Outcome, s.event.Took = r.Outcome, time.Since(arrived)
+	if r.Outcome.Kind == outcome.NotRun {
+		s.event.Basis = s.engine.basis()
+	}
 	if err != nil {
 		s.event.Undelivered = err.Error()
 	}
@@ -85,7 +88,7 @@
 // Refuse records a statement that was answered with the outcome without being served.
 func (s *Session[C]) Refuse(st Statement, o outcome.Outcome) {
 	s.event = s.newEvent(st)
-	s.event.Outcome = o
+	s.event.Outcome, s.event.Basis = o, s.engine.basis()
 	if route, ok := s.route(); ok {
 		s.event.Route = route
 	}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -43,6 +43,23 @@
 	o.Log.Event(class, message, logFields(e)...)
 }
 
+// SessionRefused implements engine.Events.
+func (o *Observer) SessionRefused(r engine.SessionRefusal) {
+	if o.Log != nil {
+		o.Log.Event(logbudget.Failure, "engine: session refused", "database", r.Database, "code", r.Outcome.Code, "reason", r.Outcome.Reason,
+			"config", r.Config, "config_age_ms", configAge(r.Basis), "leased", r.Basis.Leased)
+	}
+}
+
+// configAge returns the age of the configuration in milliseconds, -1 if it was never
+// confirmed.
+func configAge(b engine.Basis) int64 {
+	if !b.ConfigKnown {
+		return -1
+	}
+	return b.ConfigAge.Milliseconds()
+}
+
 // isLocal reports whether the engine answered the request successfully
 // without an upstream. Such a request involves no decision to log.
 func isLocal(e engine.StatementEnd) bool { return e.Outcome.Kind == outcome.Done && e.Upstream == "" }
@@ -50,7 +67,7 @@
 // logFields returns the fields that explain the decisions about a request.
 // docs/operations/log.md describes the fields.
 func logFields(e engine.StatementEnd) []any {
-	return []any{
+	fields := []any{
 		"request", e.ID, "database", e.Database, "organisation", e.Organisation, "verb", e.Verb.String(), "rank", e.Route.Service.Rank,
 		"outcome", string(e.Outcome.Kind), "code", e.Outcome.Code, "reason", e.Outcome.Reason,
 		"retry_after_ms", e.Outcome.RetryAfter.Milliseconds(),
@@ -59,6 +76,10 @@
 		"config", e.Config, "attempts", e.Attempts, "held_ms", milliseconds(e.Held),
 		"upstream_wait_ms", milliseconds(e.UpstreamWait), "waited_ms", milliseconds(e.Waited), "took_ms", milliseconds(e.Took),
 	}
+	if e.Outcome.Kind == outcome.NotRun {
+		fields = append(fields, "config_age_ms", configAge(e.Basis), "leased", e.Basis.Leased)
+	}
+	return fields
 }
 
 // milliseconds returns d in milliseconds, rounded to one decimal.
