--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -37,6 +37,8 @@
 	term     topo.Term
 	leased   bool
 	isolated bool
+	// configAge is the time since the configuration was last confirmed.
+	configAge time.Duration
 	// ending are the upstreams that accept no new work, since they are shutting down.
 	ending   map[topo.UpstreamID]bool
 	position topo.Position
@@ -297,7 +299,11 @@
 	return db.leased
 }
 
-func (db *fakeGroup) ConfigAge() (time.Duration, bool) { return 0, true }
+func (db *fakeGroup) ConfigAge() (time.Duration, bool) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return db.configAge, true
+}
 
 func (db *fakeGroup) IsolatedWithoutLease() bool {
 	db.mu.Lock()
