agent: no lease without the latest configuration

The lease was extended before the configuration of the answer was applied, and kept if that failed: an instance that can't apply it, for example one of an older build, went on to serve by the former one for good. The configuration now comes first, and without it there is no lease, so that the instance leaves the rotation as if it were cut off. Retries keep the interval of renewals, since they get the same configuration.

TestNoLeaseWithoutTheLatestConfiguration fails with the former order of the two steps (the lease is extended).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -208,3 +209,22 @@
 	require.Equal(t, []string{"voter"}, a.leaderCandidates(), "an instance with a lease keeps its leader")
 	require.Empty(t, a.wake)
 }
+
+// failingSink can't apply any configuration.
+type failingSink struct{}
+
+func (failingSink) Revision() uint64   { return 1 }
+func (failingSink) Apply([]byte) error { return errors.New("unknown field") }
+
+// Guards against work under a lease by an instance that can't apply the latest configuration.
+func TestNoLeaseWithoutTheLatestConfiguration(t *testing.T) {
+	a := newAgent(t, nil)
+	require.NoError(t, a.applyRenewal(time.Now(), renewed(1, record(1, 1, nil))))
+	until := a.LeaseUntil()
+	a.config = failingSink{}
+	answer := renewed(2)
+	answer.Config = []byte("2")
+	var failed *ConfigError
+	require.ErrorAs(t, a.applyRenewal(time.Now().Add(time.Second), answer), &failed)
+	require.Equal(t, until, a.LeaseUntil())
+}
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -86,6 +86,9 @@
 			a.recordFailedRenewal(err)
 			delay = jitter(backoff)
 			backoff = min(2*backoff, a.maxBackoff())
+			if _, ok := errors.AsType[*ConfigError](err); ok {
+				delay = a.timing.Renew // a retry gets the same configuration
+			}
 		} else {
 			backoff = initialBackoff
 		}
@@ -234,19 +237,18 @@
 	return a.applyRenewal(sentAt, renewed)
 }
 
-// applyRenewal applies the delta before it extends the lease, so that the lease never
-// covers a term whose failover had begun when the lease was granted.
+// applyRenewal applies the delta and the configuration before it extends the lease, so that
+// the lease never covers a term whose failover had begun, nor an older configuration than
+// the latest, when it was granted.
 func (a *Agent) applyRenewal(sentAt time.Time, renewed ctlwire.Renewed) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	before, formerRevision := membership.ConfirmedEpoch(a.controlState.Epochs), a.config.Revision()
 	updated := a.controlState.Apply(renewed.Delta, true)
-	a.holder.Renew(sentAt)
-	formerRenewal := a.renewedAt
-	a.renewedAt = a.now()
-	a.handleLeaseEvent(eventGranted)
 	err := a.applyConfig(sentAt, renewed.Config)
-	a.logRegained(formerRenewal, formerRevision)
+	if err == nil {
+		a.extendLease(sentAt, formerRevision)
+	}
 	a.share = renewed.Share
 	if len(renewed.Voters) > 0 {
 		a.setVoters(renewed.Voters)
@@ -260,13 +262,34 @@
 	return err
 }
 
+// extendLease extends the lease after a renewal sent at sentAt was granted. The caller
+// holds a.mu.
+func (a *Agent) extendLease(sentAt time.Time, formerRevision uint64) {
+	a.holder.Renew(sentAt)
+	a.logRegained(a.renewedAt, formerRevision)
+	a.renewedAt = a.now()
+	a.handleLeaseEvent(eventGranted)
+}
+
+// ConfigError means that the latest configuration can't be applied here, for example
+// because this build is older than what it holds.
+type ConfigError struct{ Err error }
+
+// Error implements error.
+func (e *ConfigError) Error() string {
+	return "agent: configuration can't be applied: " + e.Err.Error()
+}
+
+// Unwrap returns the reason.
+func (e *ConfigError) Unwrap() error { return e.Err }
+
 // applyConfig applies the configuration of the answer to a renewal sent at sentAt; an
 // empty update means that the current one is the latest. The caller holds a.mu.
 func (a *Agent) applyConfig(sentAt time.Time, update []byte) error {
 	if len(update) > 0 {
 		if err := a.config.Apply(update); err != nil {
 			klog.ErrorS(err, "agent: configuration can't be applied", "instance", a.opts.Self.ID, "revision", a.config.Revision())
-			return err
+			return &ConfigError{err}
 		}
 	}
 	if sentAt.After(a.configConfirmedAt) {
