engine, entry: an instance denies nothing by a configuration that is not known to be the latest

Callers saw NODB for a route of a version that had been acknowledged seconds before. NODB and UNAUTH, and on the PostgreSQL side an unknown database or service and an ended contract, were decided by whatever configuration the instance held, whether or not it had a lease.

internal/core/freshness now decides: the instance refuses for good only while a renewal has shown within the time to apply a configuration (less an eighth) that it had the latest one, else with CC011 (BUSY), which lets the caller go on to another instance. Past that time it also serves nothing on the routes that it holds if another instance that it can reach has renewed since; a zone that is cut off serves on.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -111,6 +111,8 @@
 	// configConfirmedAt is when the latest renewal was sent whose answer showed that
 	// config has the latest revision; zero before the first.
 	configConfirmedAt time.Time
+	// overtaken is set while another instance has renewed its lease since this one.
+	overtaken bool
 	// failedRenewals counts the failed attempts to register or to renew since renewedAt,
 	// renewalError is the latest error.
 	failedRenewals int
@@ -413,17 +415,6 @@
 	return a.holder.Valid(a.now())
 }
 
-// ConfigAge returns the time since the renewal was sent whose answer last showed that the
-// configuration was the latest. known is false before the first one.
-func (a *Agent) ConfigAge() (age time.Duration, known bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.configConfirmedAt.IsZero() {
-		return 0, false
-	}
-	return a.now().Sub(a.configConfirmedAt), true
-}
-
 // Registered reports whether the instance has been granted a lease and has not left
 // since.
 func (a *Agent) Registered() bool {
--- a/internal/agent/isolation.go
+++ b/internal/agent/isolation.go
@@ -60,9 +60,12 @@
 		ago, known := a.sinceRenewal()
 		if !known || ago < isolation.GracePeriod {
 			a.setIsolated(false, ago)
+			a.setOvertaken(false)
 			continue
 		}
-		a.setIsolated(isolation.Isolated(ago, a.queryWitnesses(ctx)), ago)
+		reports := a.queryWitnesses(ctx)
+		a.setIsolated(isolation.Isolated(ago, reports), ago)
+		a.setOvertaken(isolation.Overtaken(ago, reports))
 	}
 	return nil
 }
@@ -78,6 +81,12 @@
 	return a.now().Sub(a.renewedAt), true
 }
 
+func (a *Agent) setOvertaken(overtaken bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.overtaken = overtaken
+}
+
 func (a *Agent) setIsolated(isolated bool, ago time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/core/isolation/isolation.go
+++ b/internal/core/isolation/isolation.go
@@ -9,7 +9,10 @@
 // The package does no I/O and reads no clock; callers pass in the time.
 package isolation
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// GracePeriod is how long renewals must fail before an instance requests reports
@@ -41,10 +44,14 @@
 	if renewedAgo < GracePeriod {
 		return false
 	}
-	for _, r := range reports {
-		if !r.Reached || r.Renewed && r.RenewedAgo+minRenewalLead < renewedAgo {
-			return true
-		}
-	}
-	return false
+	unreached := func(r Report) bool { return !r.Reached }
+	return Overtaken(renewedAgo, reports) || slices.ContainsFunc(reports, unreached)
+}
+
+// Overtaken reports whether another instance, which can be reached, has renewed its lease
+// since this one did.
+func Overtaken(renewedAgo time.Duration, reports []Report) bool {
+	return slices.ContainsFunc(reports, func(r Report) bool {
+		return r.Reached && r.Renewed && r.RenewedAgo+minRenewalLead < renewedAgo
+	})
 }
--- a/internal/core/isolation/isolation_test.go
+++ b/internal/core/isolation/isolation_test.go
@@ -18,15 +18,20 @@
 		ago     time.Duration
 		reports []Report
 		want    bool
+		// overtaken is the result of Overtaken.
+		overtaken bool
 	}{
-		{"a single lost renewal", 500 * ms, []Report{unreachable}, false},
-		{"another instance still renews", time.Second, []Report{unreachable, renewing}, true},
-		{"no instance replies", time.Second, []Report{unreachable, unreachable}, true},
-		{"control is unavailable to all", time.Second, []Report{equallyOld, withoutLease}, false},
-		{"isolated together with others", time.Second, []Report{equallyOld, unreachable}, true},
-		{"no other instances", time.Second, nil, false},
+		{"a single lost renewal", 500 * ms, []Report{unreachable}, false, false},
+		{"another instance still renews", time.Second, []Report{unreachable, renewing}, true, true},
+		{"no instance replies", time.Second, []Report{unreachable, unreachable}, true, false},
+		{"control is unavailable to all", time.Second, []Report{equallyOld, withoutLease}, false, false},
+		{"isolated together with others", time.Second, []Report{equallyOld, unreachable}, true, false},
+		{"no other instances", time.Second, nil, false, false},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Isolated(c.ago, c.reports)) })
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, Isolated(c.ago, c.reports))
+			require.Equal(t, c.overtaken, Overtaken(c.ago, c.reports))
+		})
 	}
 }
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -64,6 +64,9 @@
 	// CodeRateLimited: the organisation has reached its rate limit, not run; retry
 	// after the hint.
 	CodeRateLimited = "CC010"
+	// CodeConfigUnconfirmed: the instance can't tell whether its configuration is the
+	// latest, not run; another instance may serve the request.
+	CodeConfigUnconfirmed = "CC011"
 	// CodeNoStatement: no prepared statement has this name, not run.
 	CodeNoStatement = "26000"
 	// CodeUpstreamFailed: the upstream returned an error of its own.
@@ -93,6 +96,16 @@
 	return Outcome{Kind: NotRun, Code: code, Reason: reason, RetryAfter: retryAfter}
 }
 
+// configRetryHint is when a caller may return to an instance that can't confirm its
+// configuration.
+const configRetryHint = 500 * time.Millisecond
+
+// ConfigUnconfirmed returns the outcome of a request whose instance can't tell whether its
+// configuration is the latest.
+func ConfigUnconfirmed() Outcome {
+	return RefusedWithRetry(CodeConfigUnconfirmed, "this entry instance can't tell whether its configuration is the latest", configRetryHint)
+}
+
 // UnknownResult returns an Unknown outcome.
 func UnknownResult(reason string) Outcome {
 	return Outcome{Kind: Unknown, Code: CodeUnknownResult, Reason: reason}
--- a/internal/ctlwire/timing.go
+++ b/internal/ctlwire/timing.go
@@ -58,6 +58,9 @@
 	// DrainLimit is how long after it announced that it leaves a database may still
 	// receive new work; zero means until it has been replaced.
 	DrainLimit time.Duration
+	// ConfigLimit is the age of its latest confirmation up to which an instance takes its
+	// configuration for the latest.
+	ConfigLimit time.Duration
 	// Remove is how long a member without a lease stays registered.
 	Remove time.Duration
 }
@@ -81,6 +84,7 @@
 	DefaultPromote         = 600 * time.Millisecond
 	DefaultCatchUp         = 500 * time.Millisecond
 	DefaultFenceTimeout    = 300 * time.Millisecond
+	DefaultConfigLimit     = DefaultLease
 	DefaultRemove          = 10 * time.Second
 )
 
@@ -91,7 +95,7 @@
 		&t.Probe: DefaultProbe, &t.ProbeTimeout: DefaultProbeTimeout, &t.Silence: DefaultSilence,
 		&t.Minority: DefaultMinority, &t.AnnouncementTTL: DefaultAnnouncementTTL, &t.Tick: DefaultTick, &t.CandidateMaxAge: DefaultCandidateMaxAge, &t.Promote: DefaultPromote,
 		&t.CatchUp: DefaultCatchUp, &t.Remove: DefaultRemove, &t.FenceTimeout: DefaultFenceTimeout,
-		&t.AddressSilence: DefaultAddressSilence,
+		&t.AddressSilence: DefaultAddressSilence, &t.ConfigLimit: DefaultConfigLimit,
 	} {
 		if *field == 0 {
 			*field = value
--- a/internal/engine/authorize.go
+++ b/internal/engine/authorize.go
@@ -37,7 +37,7 @@
 // refuseUnauthenticated refuses a statement and rolls back an open transaction.
 func (s *Session[C]) refuseUnauthenticated(st Statement) Reply {
 	if s.tx == nil {
-		return refused(unauthenticated())
+		return refused(s.engine.deny(unauthenticated()))
 	}
 	if st.Verb == Commit {
 		s.endTransaction()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -164,17 +164,23 @@
 	}
 	route, ok := c.Routes[database]
 	if !ok {
-		return noDatabase(database), false
+		return e.deny(noDatabase(database)), false
 	}
 	if _, ok := authorize(c, route, key); !ok {
-		return unauthenticated(), false
+		return e.deny(unauthenticated()), false
 	}
 	if e.opts.Control.IsolatedWithoutLease() {
 		return outcome.Refused(outcome.CodeNoPrimary, "this entry instance is isolated from the others"), false
 	}
+	if !e.opts.Control.ConfigUsable() {
+		return outcome.ConfigUnconfirmed(), false
+	}
 	return outcome.Outcome{}, true
 }
 
+// deny is ctlview.Deny.
+func (e *Engine[C]) deny(o outcome.Outcome) outcome.Outcome { return ctlview.Deny(e.opts.Control, o) }
+
 // basis returns what a decision by the configuration rests on now.
 func (e *Engine[C]) basis() Basis {
 	age, known := e.opts.Control.ConfigAge()
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -11,6 +11,7 @@
 	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
 	"github.com/cicadacove/cicadacove/internal/core/contract"
+	"github.com/cicadacove/cicadacove/internal/core/freshness"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/ctlview"
 
@@ -19,6 +20,9 @@
 
 const group = topo.GroupID("ledger")
 
+// configLimit is the age up to which a configuration counts as the latest.
+const configLimit = 2 * time.Second
+
 // run is one statement that an upstream ran.
 type run struct {
 	id, text string
@@ -39,6 +43,8 @@
 	isolated bool
 	// configAge is the time since the configuration was last confirmed.
 	configAge time.Duration
+	// overtaken means that another instance has been in contact with control since.
+	overtaken bool
 	// ending are the upstreams that accept no new work, since they are shutting down.
 	ending   map[topo.UpstreamID]bool
 	position topo.Position
@@ -305,6 +311,16 @@
 	return db.configAge, true
 }
 
+func (db *fakeGroup) configState() freshness.State {
+	age, confirmed := db.ConfigAge()
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return freshness.State{Age: age, Confirmed: confirmed, Overtaken: db.overtaken}
+}
+
+func (db *fakeGroup) ConfigCurrent() bool { return db.configState().Current(configLimit) }
+func (db *fakeGroup) ConfigUsable() bool  { return db.configState().Usable(configLimit) }
+
 func (db *fakeGroup) IsolatedWithoutLease() bool {
 	db.mu.Lock()
 	defer db.mu.Unlock()
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -205,7 +205,7 @@
 	route, ok := s.route()
 	if !ok {
 		s.failIfOpen()
-		return refused(noDatabase(s.database))
+		return refused(s.engine.deny(noDatabase(s.database)))
 	}
 	s.event.Route = route
 	organisation, ok := s.authorize(route)
@@ -213,6 +213,9 @@
 		return s.refuseUnauthenticated(st)
 	}
 	s.event.Organisation = organisation
+	if s.tx == nil && !s.engine.opts.Control.ConfigUsable() {
+		return refused(outcome.ConfigUnconfirmed())
+	}
 	r := request{service: route.Service, organisation: organisation, caller: cmp.Or(organisation, s.name), arrived: arrived}
 	w := workItem{request: r, route: route, statement: st, writes: st.Verb == Write}
 	if st.Verb == Execute {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -36,12 +36,15 @@
 	}
 	route, ok := s.route()
 	if !ok {
-		return refused(noDatabase(s.database))
+		return refused(s.engine.deny(noDatabase(s.database)))
 	}
 	s.event.Route = route
 	organisation, ok := s.authorize(route)
 	if !ok {
-		return refused(unauthenticated())
+		return refused(s.engine.deny(unauthenticated()))
+	}
+	if !s.engine.opts.Control.ConfigUsable() {
+		return refused(outcome.ConfigUnconfirmed())
 	}
 	s.tx = &transaction[C]{route: route, organisation: organisation, readOnly: st.ReadOnly}
 	return done()
--- a/internal/engine/unconfirmed_config_test.go
+++ b/internal/engine/unconfirmed_config_test.go
@@ -42,3 +42,22 @@
 		require.NotContains(t, []string{noRoute, noKey}, code)
 	}
 }
+
+// Guards against reads on a route that a later configuration may have dropped, while another instance has that configuration.
+func TestOvertakenInstanceServesNothingByAnOldConfiguration(t *testing.T) {
+	db := newFakeGroup()
+	e := newEngine(db)
+	c := openWith(t, e, "old", "")
+	require.Equal(t, outcome.Done, c.read("r").Outcome.Kind)
+	db.setConfigAge(configLimit)
+	require.Equal(t, outcome.Done, c.read("r").Outcome.Kind, "an instance that is cut off with its zone goes on serving")
+	db.overtaken = true
+	_, refused := e.Open("old", "")
+	for _, code := range []string{refused.Code, c.read("r").Outcome.Code, c.begin(true).Outcome.Code} {
+		require.Equal(t, outcome.CodeConfigUnconfirmed, code)
+	}
+	db.setConfigAge(0)
+	require.Equal(t, outcome.Done, c.begin(true).Outcome.Kind)
+	db.setConfigAge(configLimit)
+	require.Equal(t, outcome.Done, c.read("r").Outcome.Kind, "a transaction keeps its route")
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -22,6 +22,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/statement"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/core/unit"
+	"github.com/cicadacove/cicadacove/internal/ctlview"
 	"github.com/cicadacove/cicadacove/internal/upstream"
 )
 
@@ -331,17 +332,20 @@
 	}
 	ct, ok := c.server.opts.Control.Config().ForGroup(c.group)
 	if !ok {
-		return nil, outcome.Refused("3D000", "no contract covers this database"), false
+		return nil, ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeNoDatabase, "no contract covers this database")), false
 	}
 	if ct.Ended(arrived) && c.tx == nil {
-		return nil, outcome.Refused(outcome.CodeContractEnded, "the contract of this database ended at "+ct.EndsAt.Format(time.RFC3339)), false
+		return nil, ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeContractEnded, "the contract of this database ended at "+ct.EndsAt.Format(time.RFC3339))), false
+	}
+	if c.tx == nil && !c.server.opts.Control.ConfigUsable() {
+		return nil, outcome.ConfigUnconfirmed(), false
 	}
 	svc, ok := ct.Service(attrs.Service)
 	if !ok && attrs.Service == "" {
 		return nil, outcome.Refused(outcome.CodeUnknownService, "name a service by cicadacove.service"), false
 	}
 	if !ok {
-		return nil, outcome.Refused(outcome.CodeUnknownService, "cicadacove.service: the contract has no service "+attrs.Service), false
+		return nil, ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeUnknownService, "cicadacove.service: the contract has no service "+attrs.Service)), false
 	}
 	if attrs.HasMaxAge {
 		svc.MaxAge = min(svc.MaxAge, attrs.MaxAge)
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -18,6 +18,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/statement"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/core/unit"
+	"github.com/cicadacove/cicadacove/internal/ctlview"
 	"github.com/cicadacove/cicadacove/internal/lingering"
 )
 
@@ -157,7 +158,7 @@
 		return outcome.Refused("28P01", "authentication of user "+c.user+" failed"), false
 	}
 	if _, ok := c.server.opts.Control.Config().ForGroup(c.group); !ok {
-		return outcome.Refused("3D000", fmt.Sprintf("no contract covers database %q", name)), false
+		return ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeNoDatabase, fmt.Sprintf("no contract covers database %q", name))), false
 	}
 	if _, o, ok := c.checkToken(c.attrs.Token); !ok {
 		return o, false
