agent: a renewal that is answered late still counts

An attempt now goes on for as long as a lease that it grants would last; the next one starts beside it at the usual interval. A step of a call that is slow goes on too while the next one begins, so that the same messages are sent as before.

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -27,31 +27,40 @@
 	return callWithoutTimeout[Rep](ctx, a, kind, request)
 }
 
+// callForLease is call for requests of the lease, whose answers count as long as a lease
+// that is granted by them would last.
+func callForLease[Rep response](ctx context.Context, a *Agent, kind string, request any) (Rep, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.timing.Lease-a.timing.Margin)
+	defer cancel()
+	return callWithoutTimeout[Rep](ctx, a, kind, request)
+}
+
 // callWithoutTimeout is call without a timeout of its own. If the leader cannot be
-// reached, another voter relays the request.
+// reached, or doesn't answer soon, other voters relay the request. The first answer counts.
 func callWithoutTimeout[Rep response](ctx context.Context, a *Agent, kind string, request any) (Rep, error) {
+	var steps []step[Rep]
 	if via := a.relay(); via != "" {
-		rep, err := callVia[Rep](ctx, a, via, kind, request)
-		if err == nil {
-			return rep, nil
-		}
-		a.setRelay("")
-	}
-	direct, cancel := context.WithTimeout(ctx, directShare*a.timing.Call/relayParts)
-	defer cancel()
-	rep, err := callDirectly[Rep](direct, a, kind, request)
-	if err == nil || ctx.Err() != nil {
-		return rep, err
-	}
-	if rep, relayErr := callViaAnyVoter[Rep](ctx, a, kind, request); relayErr == nil {
-		return rep, nil
-	}
-	return rep, err
+		steps = append(steps, step[Rep]{
+			run:    func(ctx context.Context) (Rep, error) { return callVia[Rep](ctx, a, via, kind, request) },
+			giveUp: func() { a.setRelay("") },
+		})
+	}
+	leader := a.Leader()
+	steps = append(steps,
+		step[Rep]{
+			run:    func(ctx context.Context) (Rep, error) { return callDirectly[Rep](ctx, a, kind, request) },
+			giveUp: func() { a.forgetLeader(leader) },
+		},
+		step[Rep]{
+			run: func(ctx context.Context) (Rep, error) { return callViaAnyVoter[Rep](ctx, a, kind, request) },
+		},
+	)
+	return firstAnswer(ctx, directShare*a.timing.Call/relayParts, steps)
 }
 
 const (
-	// directShare/relayParts is the fraction of a call's timeout in which the
-	// leader must answer before the agent sends the request through other voters.
+	// directShare/relayParts is the fraction of a call's timeout after which the agent sends
+	// the request through other voters too.
 	directShare = 2
 	relayParts  = 3
 	// relayDuration is how long requests go through another voter before the
@@ -154,6 +163,9 @@
 			a.setLeader(last.addr)
 			return last.rep, nil
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		if addr := a.noteNotLeader(last); addr != "" && len(asked) < limit && !slices.Contains(asked, addr) {
 			asked = append(asked, addr)
 			go ask(addr)
--- a/internal/agent/contacts.go
+++ b/internal/agent/contacts.go
@@ -78,6 +78,15 @@
 	a.leader = addr
 }
 
+// forgetLeader clears the leader if it is still the given one, which doesn't answer.
+func (a *Agent) forgetLeader(addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leader == addr {
+		a.leader = ""
+	}
+}
+
 // noteNotLeader clears the leader unless another one has been found, keeps what the answer
 // names for the next request, and returns the address to which it redirects.
 func (a *Agent) noteNotLeader(o leaderInfo) (redirect string) {
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -79,18 +79,20 @@
 	for {
 		delay := a.timing.Renew
 		err := a.attemptRenewal(ctx)
-		if errors.Is(err, errLeaderFound) {
+		_, unusable := errors.AsType[*ConfigError](err)
+		switch {
+		case err == nil:
+			backoff = initialBackoff
+		case errors.Is(err, errLeaderFound):
 			continue
+		case errors.Is(err, errUnanswered):
+			delay = jitter(initialBackoff)
+		case !unusable: // a retry gets the same configuration
+			delay = jitter(backoff)
+			backoff = min(2*backoff, a.maxBackoff())
 		}
 		if err != nil {
 			a.recordFailedRenewal(err)
-			delay = jitter(backoff)
-			backoff = min(2*backoff, a.maxBackoff())
-			if _, ok := errors.AsType[*ConfigError](err); ok {
-				delay = a.timing.Renew // a retry gets the same configuration
-			}
-		} else {
-			backoff = initialBackoff
 		}
 		if !a.sleep(ctx, delay) {
 			return nil
@@ -111,13 +113,22 @@
 // meanwhile. The attempt may wait for voters that do not answer.
 var errLeaderFound = errors.New("agent: a leader has announced itself")
 
+// errUnanswered means that an attempt to get a lease has no answer yet. It goes on beside
+// the next one.
+var errUnanswered = errors.New("agent: not answered yet")
+
 // attemptRenewal registers or renews. It returns errLeaderFound as soon as a new
-// leader announces itself.
+// leader announces itself, and errUnanswered after the timeout of a call. On a slow link
+// each answer takes longer than that, but comes in time for its lease.
 func (a *Agent) attemptRenewal(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	done := make(chan error, 1)
-	go func() { done <- a.registerOrRenew(ctx) }()
+	go func() {
+		defer cancel(nil)
+		done <- a.registerOrRenew(ctx)
+	}()
+	slow := time.NewTimer(a.timing.Call)
+	defer slow.Stop()
 	select {
 	case err := <-done:
 		return err
@@ -125,6 +136,8 @@
 		cancel(errLeaderFound)
 		<-done
 		return errLeaderFound
+	case <-slow.C:
+		return errUnanswered
 	}
 }
 
@@ -183,7 +196,7 @@
 }
 
 func (a *Agent) register(ctx context.Context) error {
-	answer, err := call[ctlwire.Answer](ctx, a, ctlwire.KindRegister, ctlwire.Register{Member: a.self()})
+	answer, err := callForLease[ctlwire.Answer](ctx, a, ctlwire.KindRegister, ctlwire.Register{Member: a.self()})
 	if err != nil {
 		return err
 	}
@@ -227,7 +240,7 @@
 		request.Sessions = a.opts.Sessions()
 	}
 	sentAt := a.now()
-	renewed, err := call[ctlwire.Renewed](ctx, a, ctlwire.KindRenew, request)
+	renewed, err := callForLease[ctlwire.Renewed](ctx, a, ctlwire.KindRenew, request)
 	if err != nil {
 		return err
 	}
