engine, entry: ask how far to trust a configuration before reading it

A denial read the configuration first and asked whether it was current after that. While a renewal applies a later one it holds the agent's lock, so that the question waits and is answered for the later configuration: sessions that were opened in that time were denied by the former one after all. The trust is now asked for once, before the configuration is read. Found by reading the diff; TestNothingIsDeniedByAConfigurationReadBeforeALaterOneWasConfirmed fails before (3D000 where CC011 is expected).

--- a/internal/agent/config_state.go
+++ b/internal/agent/config_state.go
@@ -13,12 +13,9 @@
 	return s.Age, s.Confirmed
 }
 
-// ConfigCurrent reports whether the configuration was the latest lately, so that a request
-// that it doesn't allow may be refused for good.
-func (a *Agent) ConfigCurrent() bool { return a.configState().Current(a.timing.ConfigLimit) }
-
-// ConfigUsable reports whether requests that the configuration allows may be served.
-func (a *Agent) ConfigUsable() bool { return a.configState().Usable(a.timing.ConfigLimit) }
+// ConfigTrust returns what the instance may do by its configuration. A configuration that is
+// read after the call is at least as recent as the result assumes.
+func (a *Agent) ConfigTrust() freshness.Trust { return a.configState().Trust(a.timing.ConfigLimit) }
 
 func (a *Agent) configState() freshness.State {
 	a.mu.Lock()
--- a/internal/cluster/unconfirmed_config_test.go
+++ b/internal/cluster/unconfirmed_config_test.go
@@ -32,7 +32,7 @@
 	for i := range 3 {
 		c.Net.Isolate(string(c.Entry(i).ID))
 	}
-	require.Eventually(t, func() bool { return !e.Node.Agent.ConfigCurrent() }, settleTimeout, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return !e.Node.Agent.ConfigTrust().MayDeny }, settleTimeout, 20*time.Millisecond)
 	requireCode(t, outcome.CodeConfigUnconfirmed, open())
 	requireCode(t, outcome.CodeConfigUnconfirmed, execute())
 }
--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -9,7 +9,11 @@
 // The package does no I/O and reads no clock; callers pass in the time.
 package freshness
 
-import "time"
+import (
+	"time"
+
+	"github.com/cicadacove/cicadacove/internal/core/outcome"
+)
 
 // State is what an instance knows about its configuration.
 type State struct {
@@ -22,16 +26,31 @@
 	Overtaken bool
 }
 
-// Current reports whether no later configuration has been in force for the limit, so that
-// the instance may refuse what the configuration doesn't allow.
-func (s State) Current(limit time.Duration) bool { return s.Confirmed && s.Age < limit }
+// Trust is what an instance may do by its configuration.
+type Trust struct {
+	// MayDeny means that no later configuration has been in force for long, so that the
+	// instance may refuse for good what the configuration doesn't allow.
+	MayDeny bool
+	// MayServe means that the instance may serve what the configuration allows.
+	MayServe bool
+}
+
+// Trust returns what the instance may do if a configuration counts as the latest up to the
+// age of limit. An instance that is cut off together with its availability zone goes on
+// serving; one that another instance has overtaken doesn't, since callers are served by
+// the latest configuration there.
+func (s State) Trust(limit time.Duration) Trust {
+	current := s.Confirmed && s.Age < limit
+	return Trust{MayDeny: current, MayServe: s.Confirmed && (current || !s.Overtaken)}
+}
 
-// Usable reports whether the instance may serve what the configuration allows. An
-// instance that is cut off together with its availability zone goes on serving; one that
-// another instance has overtaken doesn't, since callers are served by the latest
-// configuration there.
-func (s State) Usable(limit time.Duration) bool {
-	return s.Confirmed && (s.Age < limit || !s.Overtaken)
+// Deny returns the outcome of a request that the configuration doesn't allow: o, or one
+// that isn't final if a later configuration may allow it.
+func (t Trust) Deny(o outcome.Outcome) outcome.Outcome {
+	if t.MayDeny {
+		return o
+	}
+	return outcome.ConfigUnconfirmed()
 }
 
 // marginDivisor determines the part of the time within which a configuration must be in
--- a/internal/core/freshness/freshness_test.go
+++ b/internal/core/freshness/freshness_test.go
@@ -22,8 +22,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			require.Equal(t, c.current, c.state.Current(limit))
-			require.Equal(t, c.usable, c.state.Usable(limit))
+			require.Equal(t, Trust{MayDeny: c.current, MayServe: c.usable}, c.state.Trust(limit))
 		})
 	}
 }
--- a/internal/ctlview/ctlview.go
+++ b/internal/ctlview/ctlview.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadacove/cicadacove/internal/core/contract"
+	"github.com/cicadacove/cicadacove/internal/core/freshness"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 )
 
@@ -55,12 +56,9 @@
 	// ConfigAge returns the time since a leader last confirmed that the instance had the
 	// latest configuration; known is false before the first time.
 	ConfigAge() (age time.Duration, known bool)
-	// ConfigCurrent reports whether the configuration was the latest lately. Callers check
-	// it before they refuse a request for good because the configuration doesn't allow it.
-	ConfigCurrent() bool
-	// ConfigUsable reports whether requests that the configuration allows may be served: it
-	// was the latest lately, or no instance that can be reached has a later one.
-	ConfigUsable() bool
+	// ConfigTrust returns what the instance may do by its configuration. Callers ask before
+	// they read the configuration, since a later one may be applied in between.
+	ConfigTrust() freshness.Trust
 	// Config returns the latest configuration.
 	Config() *contract.Config
 	// View returns the active epoch, if the lease covers it now.
--- a/internal/engine/authorize.go
+++ b/internal/engine/authorize.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
+	"github.com/cicadacove/cicadacove/internal/core/freshness"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 )
 
@@ -35,9 +36,9 @@
 }
 
 // refuseUnauthenticated refuses a statement and rolls back an open transaction.
-func (s *Session[C]) refuseUnauthenticated(st Statement) Reply {
+func (s *Session[C]) refuseUnauthenticated(st Statement, trust freshness.Trust) Reply {
 	if s.tx == nil {
-		return refused(s.engine.deny(unauthenticated()))
+		return refused(trust.Deny(unauthenticated()))
 	}
 	if st.Verb == Commit {
 		s.endTransaction()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"github.com/cicadacove/cicadacove/internal/connpool"
 	"github.com/cicadacove/cicadacove/internal/core/admission"
 	"github.com/cicadacove/cicadacove/internal/core/catalog"
+	"github.com/cicadacove/cicadacove/internal/core/freshness"
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 	"github.com/cicadacove/cicadacove/internal/core/pool"
 	"github.com/cicadacove/cicadacove/internal/core/retry"
@@ -144,9 +145,10 @@
 // Open starts a session of a caller with a key for a database name. If it returns no
 // session, the outcome gives the reason.
 func (e *Engine[C]) Open(database, key string) (*Session[C], outcome.Outcome) {
+	trust := e.opts.Control.ConfigTrust()
 	c := e.opts.Catalog()
 	digest := catalog.DigestKey(key)
-	if o, admitted := e.admitSession(c, database, digest); !admitted {
+	if o, admitted := e.admitSession(c, trust, database, digest); !admitted {
 		refusal := SessionRefusal{Database: database, Outcome: o, Basis: e.basis()}
 		if c != nil {
 			refusal.Config = c.Version
@@ -158,29 +160,26 @@
 }
 
 // admitSession decides whether a session may be opened. The outcome is the reason if not.
-func (e *Engine[C]) admitSession(c *catalog.Catalog, database string, key catalog.KeyDigest) (o outcome.Outcome, admitted bool) {
+func (e *Engine[C]) admitSession(c *catalog.Catalog, trust freshness.Trust, database string, key catalog.KeyDigest) (o outcome.Outcome, admitted bool) {
 	if c == nil {
 		return outcome.Refused(outcome.CodeNoUpstream, "this entry instance has no configuration yet"), false
 	}
 	route, ok := c.Routes[database]
 	if !ok {
-		return e.deny(noDatabase(database)), false
+		return trust.Deny(noDatabase(database)), false
 	}
 	if _, ok := authorize(c, route, key); !ok {
-		return e.deny(unauthenticated()), false
+		return trust.Deny(unauthenticated()), false
 	}
 	if e.opts.Control.IsolatedWithoutLease() {
 		return outcome.Refused(outcome.CodeNoPrimary, "this entry instance is isolated from the others"), false
 	}
-	if !e.opts.Control.ConfigUsable() {
+	if !trust.MayServe {
 		return outcome.ConfigUnconfirmed(), false
 	}
 	return outcome.Outcome{}, true
 }
 
-// deny is ctlview.Deny.
-func (e *Engine[C]) deny(o outcome.Outcome) outcome.Outcome { return ctlview.Deny(e.opts.Control, o) }
-
 // basis returns what a decision by the configuration rests on now.
 func (e *Engine[C]) basis() Basis {
 	age, known := e.opts.Control.ConfigAge()
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -311,16 +311,12 @@
 	return db.configAge, true
 }
 
-func (db *fakeGroup) configState() freshness.State {
-	age, confirmed := db.ConfigAge()
+func (db *fakeGroup) ConfigTrust() freshness.Trust {
 	db.mu.Lock()
 	defer db.mu.Unlock()
-	return freshness.State{Age: age, Confirmed: confirmed, Overtaken: db.overtaken}
+	return freshness.State{Age: db.configAge, Confirmed: true, Overtaken: db.overtaken}.Trust(configLimit)
 }
 
-func (db *fakeGroup) ConfigCurrent() bool { return db.configState().Current(configLimit) }
-func (db *fakeGroup) ConfigUsable() bool  { return db.configState().Usable(configLimit) }
-
 func (db *fakeGroup) IsolatedWithoutLease() bool {
 	db.mu.Lock()
 	defer db.mu.Unlock()
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -202,18 +202,19 @@
 
 // serveUpstream serves a statement that an upstream must run.
 func (s *Session[C]) serveUpstream(ctx context.Context, st Statement, arrived time.Time) Reply {
+	trust := s.engine.opts.Control.ConfigTrust()
 	route, ok := s.route()
 	if !ok {
 		s.failIfOpen()
-		return refused(s.engine.deny(noDatabase(s.database)))
+		return refused(trust.Deny(noDatabase(s.database)))
 	}
 	s.event.Route = route
 	organisation, ok := s.authorize(route)
 	if !ok {
-		return s.refuseUnauthenticated(st)
+		return s.refuseUnauthenticated(st, trust)
 	}
 	s.event.Organisation = organisation
-	if s.tx == nil && !s.engine.opts.Control.ConfigUsable() {
+	if s.tx == nil && !trust.MayServe {
 		return refused(outcome.ConfigUnconfirmed())
 	}
 	r := request{service: route.Service, organisation: organisation, caller: cmp.Or(organisation, s.name), arrived: arrived}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -34,16 +34,17 @@
 	if s.tx != nil {
 		return protocolError("a transaction is open already")
 	}
+	trust := s.engine.opts.Control.ConfigTrust()
 	route, ok := s.route()
 	if !ok {
-		return refused(s.engine.deny(noDatabase(s.database)))
+		return refused(trust.Deny(noDatabase(s.database)))
 	}
 	s.event.Route = route
 	organisation, ok := s.authorize(route)
 	if !ok {
-		return refused(s.engine.deny(unauthenticated()))
+		return refused(trust.Deny(unauthenticated()))
 	}
-	if !s.engine.opts.Control.ConfigUsable() {
+	if !trust.MayServe {
 		return refused(outcome.ConfigUnconfirmed())
 	}
 	s.tx = &transaction[C]{route: route, organisation: organisation, readOnly: st.ReadOnly}
--- a/internal/engine/unconfirmed_config_test.go
+++ b/internal/engine/unconfirmed_config_test.go
@@ -43,6 +43,29 @@
 	}
 }
 
+// Guards against a denial by the former configuration while a later one is being applied.
+func TestNothingIsDeniedByAConfigurationReadBeforeALaterOneWasConfirmed(t *testing.T) {
+	db := newFakeGroup()
+	e := newEngine(db)
+	former := e.opts.Catalog()
+	c := openWith(t, e, "old", "")
+	delete(former.Routes, "old")
+	e.opts.Catalog = func() *catalog.Catalog {
+		db.setConfigAge(0)
+		return former
+	}
+	for _, refusal := range []func() outcome.Outcome{
+		func() outcome.Outcome { _, o := e.Open("added", ""); return o },
+		func() outcome.Outcome {
+			return c.s.serveUpstream(t.Context(), Statement{Verb: Read}, time.Now()).Outcome
+		},
+		func() outcome.Outcome { return c.s.begin(Statement{}).Outcome },
+	} {
+		db.setConfigAge(time.Hour)
+		require.Equal(t, outcome.CodeConfigUnconfirmed, refusal().Code)
+	}
+}
+
 // Guards against reads on a route that a later configuration may have dropped, while another instance has that configuration.
 func TestOvertakenInstanceServesNothingByAnOldConfiguration(t *testing.T) {
 	db := newFakeGroup()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -22,7 +22,6 @@
 	"github.com/cicadacove/cicadacove/internal/core/statement"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/core/unit"
-	"github.com/cicadacove/cicadacove/internal/ctlview"
 	"github.com/cicadacove/cicadacove/internal/upstream"
 )
 
@@ -330,14 +329,15 @@
 			return nil, outcome.Refused("22023", err.Error()), false
 		}
 	}
+	trust := c.server.opts.Control.ConfigTrust()
 	ct, ok := c.server.opts.Control.Config().ForGroup(c.group)
 	if !ok {
-		return nil, ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeNoDatabase, "no contract covers this database")), false
+		return nil, trust.Deny(outcome.Refused(outcome.CodeNoDatabase, "no contract covers this database")), false
 	}
 	if ct.Ended(arrived) && c.tx == nil {
-		return nil, ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeContractEnded, "the contract of this database ended at "+ct.EndsAt.Format(time.RFC3339))), false
+		return nil, trust.Deny(outcome.Refused(outcome.CodeContractEnded, "the contract of this database ended at "+ct.EndsAt.Format(time.RFC3339))), false
 	}
-	if c.tx == nil && !c.server.opts.Control.ConfigUsable() {
+	if c.tx == nil && !trust.MayServe {
 		return nil, outcome.ConfigUnconfirmed(), false
 	}
 	svc, ok := ct.Service(attrs.Service)
@@ -345,7 +345,7 @@
 		return nil, outcome.Refused(outcome.CodeUnknownService, "name a service by cicadacove.service"), false
 	}
 	if !ok {
-		return nil, ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeUnknownService, "cicadacove.service: the contract has no service "+attrs.Service)), false
+		return nil, trust.Deny(outcome.Refused(outcome.CodeUnknownService, "cicadacove.service: the contract has no service "+attrs.Service)), false
 	}
 	if attrs.HasMaxAge {
 		svc.MaxAge = min(svc.MaxAge, attrs.MaxAge)
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -18,7 +18,6 @@
 	"github.com/cicadacove/cicadacove/internal/core/statement"
 	"github.com/cicadacove/cicadacove/internal/core/topo"
 	"github.com/cicadacove/cicadacove/internal/core/unit"
-	"github.com/cicadacove/cicadacove/internal/ctlview"
 	"github.com/cicadacove/cicadacove/internal/lingering"
 )
 
@@ -157,8 +156,9 @@
 	if err != nil {
 		return outcome.Refused("28P01", "authentication of user "+c.user+" failed"), false
 	}
+	trust := c.server.opts.Control.ConfigTrust()
 	if _, ok := c.server.opts.Control.Config().ForGroup(c.group); !ok {
-		return ctlview.Deny(c.server.opts.Control, outcome.Refused(outcome.CodeNoDatabase, fmt.Sprintf("no contract covers database %q", name))), false
+		return trust.Deny(outcome.Refused(outcome.CodeNoDatabase, fmt.Sprintf("no contract covers database %q", name))), false
 	}
 	if _, o, ok := c.checkToken(c.attrs.Token); !ok {
 		return o, false
