cluster: the comment of a test names what it covers

TestNothingIsDeniedWithoutContactToControl said that it covers an ended contract too; it covers an unknown database and an unknown service. No check changes; the test passes.

--- a/internal/cluster/unconfirmed_config_test.go
+++ b/internal/cluster/unconfirmed_config_test.go
@@ -11,7 +11,7 @@
 	"github.com/cicadacove/cicadacove/internal/core/outcome"
 )
 
-// Guards against a final refusal of a database, a service or an ended contract by an instance that control can't reach.
+// Guards against a final refusal of a database or a service by an instance that control can't reach.
 func TestNothingIsDeniedWithoutContactToControl(t *testing.T) {
 	c, g, ctx := startClusterWith(t, nil)
 	e := c.Entry(3)
